--- a/packages/core/__tests__/fixtures.ts
+++ b/packages/core/__tests__/fixtures.ts
@@ -91,10 +91,7 @@
 
 /** A reducer driven by a test: it applies events and keeps every effect. */
 export interface Driver {
-  readonly send: (
-    event: { readonly type: core.events.EventType } & object,
-    nowMs?: number,
-  ) => readonly core.effects.Effect[];
+  readonly send: (event: core.events.EventBody, nowMs?: number) => readonly core.effects.Effect[];
   readonly getState: () => core.routerState.RouterState;
   readonly getEffects: () => readonly core.effects.Effect[];
 }
@@ -108,7 +105,7 @@
     send: (event, nowMs = clockMs) => {
       clockMs = nowMs;
       const random = shared.hash.hashToFraction(`${effects.length}|${nowMs}|${event.type}`);
-      const stamped = { ...event, nowMs, random } as unknown as core.events.Event;
+      const stamped = { ...event, nowMs, random } as core.events.Event;
       const step = core.reduce.reduce(state, stamped);
       state = step.state;
       effects = [...effects, ...step.effects];
@@ -166,4 +163,6 @@
   effects: readonly core.effects.Effect[],
   type: T,
 ): readonly core.effects.EffectOf<T>[] =>
-  effects.filter((effect): effect is core.effects.EffectOf<T> => effect.type === type);
+  effects.filter(
+    (effect) => effect.type === type,
+  ) as unknown as readonly core.effects.EffectOf<T>[];
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -96,5 +96,10 @@
 /** One event of a given type. */
 export type EventOf<T extends EventType> = { readonly type: T } & EventBodies[T] & Stamp;
 
+/** Any event before it is stamped. */
+export type EventBody = {
+  readonly [T in EventType]: { readonly type: T } & EventBodies[T];
+}[EventType];
+
 /** Any event. */
 export type Event = { readonly [T in EventType]: EventOf<T> }[EventType];
--- a/packages/router/src/runtime.ts
+++ b/packages/router/src/runtime.ts
@@ -8,16 +8,11 @@
 /** Runners of all effects, by type. */
 export type EffectRunners = { readonly [T in core.effects.EffectType]: EffectRunner<T> };
 
-/** An event without its stamp. */
-export type EventBody = {
-  readonly [T in core.events.EventType]: { readonly type: T } & core.events.EventBodies[T];
-}[core.events.EventType];
-
 /** The reducer's state with a queue of events that are applied one after the other. */
 export interface Runtime {
   readonly getState: () => core.routerState.RouterState;
   /** Applies an event and runs its effects; events raised by effects follow in order. */
-  readonly dispatch: (event: EventBody) => void;
+  readonly dispatch: (event: core.events.EventBody) => void;
   /** Sets the runners; called once, before the first event. */
   readonly connect: (runners: EffectRunners) => void;
 }
@@ -27,12 +22,12 @@
   let state = initial;
   let runners: EffectRunners | null = null;
   let isRunning = false;
-  const queue: EventBody[] = [];
+  const queue: core.events.EventBody[] = [];
   const runEffect = (effect: core.effects.Effect): void => {
     const runner = runners?.[effect.type] as ((item: core.effects.Effect) => void) | undefined;
     runner?.(effect);
   };
-  const apply = (event: EventBody): void => {
+  const apply = (event: core.events.EventBody): void => {
     const stamped = { ...event, nowMs: Date.now(), random: Math.random() } as core.events.Event;
     const step = core.reduce.reduce(state, stamped);
     state = step.state;
