--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,10 +1,11 @@
 import * as fs from 'node:fs';
+import * as path from 'node:path';
 import { configs, plugins } from 'eslint-config-airbnb-extended';
 import prettier from 'eslint-config-prettier';
 
 // The one list of verbs stands in docs/VERBS.md, as rows that begin with "- `verb`".
 const VERBS = Array.from(
-  fs.readFileSync(new URL('docs/VERBS.md', import.meta.url), 'utf8').matchAll(/`([a-z]+)`/g),
+  fs.readFileSync(path.join(import.meta.dirname, 'docs/VERBS.md'), 'utf8').matchAll(/`([a-z]+)`/g),
   (match) => match[1],
 );
 
--- a/packages-private/stand-ins/src/hostListServer.ts
+++ b/packages-private/stand-ins/src/hostListServer.ts
@@ -1,5 +1,5 @@
 import * as fastify from 'fastify';
-import type * as shared from '@jayrock/shared';
+import * as shared from '@jayrock/shared';
 import * as control from './control.js';
 
 /** A host list stand-in whose hosts a test sets. */
@@ -15,9 +15,15 @@
   const faults = control.makeFaults();
   let hosts = initial;
   const server = fastify.fastify({ forceCloseConnections: true });
-  server.get('/hosts', async (_, reply) =>
-    faults.isDown ? reply.code(503).send({}) : reply.send(hosts),
-  );
+  server.get('/hosts', async (request, reply) => {
+    if (faults.isDown) {
+      return reply.code(503).send({});
+    }
+    const tag = `"${shared.hash.hashText(JSON.stringify(hosts))}"`;
+    return request.headers['if-none-match'] === tag
+      ? reply.code(304).send()
+      : reply.header('etag', tag).send(hosts);
+  });
   const address = await control.listenOn(server, port);
   return {
     address,
--- a/packages-private/stand-ins/src/index.ts
+++ b/packages-private/stand-ins/src/index.ts
@@ -3,3 +3,4 @@
 export * as hostListServer from './hostListServer.js';
 export * as plainService from './plainService.js';
 export * as ratingServer from './ratingServer.js';
+export * as keyValueServer from './keyValueServer.js';
--- a/packages/core/__tests__/fixtures.ts
+++ b/packages/core/__tests__/fixtures.ts
@@ -98,7 +98,10 @@
 
 /** Makes a driver without configuration or hosts. */
 export const makeDriver = (policy = core.policy.DEFAULT_POLICY): Driver => {
-  let state = core.routerState.makeState({ routerId: 'r1', zone: 'a' }, policy);
+  let state = core.routerState.makeState(
+    { routerId: 'r1', zone: 'a', address: '127.0.0.1:1', ledgerCapacity: 1_000 },
+    policy,
+  );
   let effects: readonly core.effects.Effect[] = [];
   let clockMs = 0;
   return {
--- a/packages/core/src/admission.ts
+++ b/packages/core/src/admission.ts
@@ -4,6 +4,7 @@
 import * as dispatch from './dispatch.js';
 import type * as events from './events.js';
 import * as laneState from './laneState.js';
+import * as ledgerBook from './ledger/ledgerBook.js';
 import * as learning from './learning.js';
 import type * as policy from './policy.js';
 import * as quarantine from './quarantine.js';
@@ -310,7 +311,7 @@
   if (current.requests.has(arrival.requestId)) {
     return 'inProgress';
   }
-  if (current.isLedgerFull) {
+  if (ledgerBook.isFull(current.ledger)) {
     return 'ledgerFull';
   }
   return isBlocked(current, arrival) ? 'quarantined' : null;
--- /dev/null
+++ b/packages/core/src/claims/claimLog.ts
@@ -0,0 +1,78 @@
+import * as immutable from 'immutable';
+
+/** Recorded answer of work that may not be repeated. */
+export interface RecordedAnswer {
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: string;
+}
+
+/** One operation on a claim log; the token tells one claimer's operation from another's. */
+export type ClaimOperation =
+  | { readonly kind: 'claim'; readonly id: string; readonly token: string }
+  | {
+      readonly kind: 'answer';
+      readonly id: string;
+      readonly token: string;
+      readonly answer: RecordedAnswer;
+    }
+  | { readonly kind: 'release'; readonly id: string; readonly token: string };
+
+/** What a log says about one request. */
+export interface ClaimRecord {
+  readonly token: string;
+  readonly answer: RecordedAnswer | null;
+}
+
+/** Result of a claim. */
+export type ClaimResult = 'granted' | 'answered' | 'mayHaveRun' | 'unavailable';
+
+/** Records of a log, by request id. */
+export type ClaimRecords = immutable.Map<string, ClaimRecord>;
+
+type OperationHandler = (records: ClaimRecords, operation: ClaimOperation) => ClaimRecords;
+
+const applyClaim: OperationHandler = (records, { id, token }) =>
+  records.has(id) ? records : records.set(id, { token, answer: null });
+
+const applyAnswer: OperationHandler = (records, operation) => {
+  const known = records.get(operation.id);
+  return operation.kind === 'answer' && known?.token === operation.token
+    ? records.set(operation.id, { ...known, answer: operation.answer })
+    : records;
+};
+
+const applyRelease: OperationHandler = (records, { id, token }) => {
+  const known = records.get(id);
+  return known?.token === token && known.answer === null ? records.remove(id) : records;
+};
+
+const OPERATION_HANDLERS: Readonly<Record<ClaimOperation['kind'], OperationHandler>> = {
+  claim: applyClaim,
+  answer: applyAnswer,
+  release: applyRelease,
+};
+
+/** Applies the operations of a written segment in order. */
+export const applyOperations = (
+  records: ClaimRecords,
+  operations: readonly ClaimOperation[],
+): ClaimRecords =>
+  operations.reduce(
+    (next, operation) => OPERATION_HANDLERS[operation.kind](next, operation),
+    records,
+  );
+
+/** Decides a claim by the record that stands in the log. */
+export const judgeClaim = (
+  record: ClaimRecord | undefined,
+  token: string,
+): { readonly result: ClaimResult; readonly answer: RecordedAnswer | null } => {
+  if (record === undefined) {
+    return { result: 'unavailable', answer: null };
+  }
+  if (record.answer !== null) {
+    return { result: 'answered', answer: record.answer };
+  }
+  return { result: record.token === token ? 'granted' : 'mayHaveRun', answer: null };
+};
--- a/packages/core/src/completion.ts
+++ b/packages/core/src/completion.ts
@@ -7,6 +7,7 @@
 import type * as effects from './effects.js';
 import type * as events from './events.js';
 import * as laneState from './laneState.js';
+import * as ledgerBook from './ledger/ledgerBook.js';
 import * as learning from './learning.js';
 import * as quarantine from './quarantine.js';
 import * as recovery from './recovery.js';
@@ -110,12 +111,14 @@
   request: requestState.RequestState,
   ratingEffects: readonly effects.Effect[],
   nowMs: number,
-): step.Step =>
-  step.makeStep(
-    routerState.setRequest(current, { ...request, phase: 'ending' }),
-    ...ratingEffects,
-    { type: 'witnessEntry', entry: makeEntry(request, nowMs) },
-  );
+): step.Step => {
+  const entry = makeEntry(request, nowMs);
+  const ending = routerState.setRequest(current, { ...request, phase: 'ending' });
+  return step.makeStep(ledgerBook.addEntry(ending, entry), ...ratingEffects, {
+    type: 'witnessEntry',
+    entry,
+  });
+};
 
 const getQualityTarget = (
   current: routerState.RouterState,
--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -1,4 +1,5 @@
 import type * as shared from '@jayrock/shared';
+import type * as claimLog from './claims/claimLog.js';
 import type * as events from './events.js';
 import type * as requestState from './requestState.js';
 import type * as versionId from './versionId.js';
@@ -61,6 +62,33 @@
     readonly fromStep: number;
     readonly change: 'advance' | 'halt';
   };
+  readonly sendProbe: {
+    /** Member probed, or null for an address whose member is not known yet. */
+    readonly targetId: string | null;
+    readonly address: string;
+    readonly greeting: events.Greeting;
+  };
+  readonly sendIndirectProbe: {
+    readonly targetId: string;
+    readonly address: string;
+    /** Addresses of the peers asked to probe. */
+    readonly helpers: readonly string[];
+  };
+  readonly fetchConfig: { readonly address: string };
+  readonly loadClaimLog: { readonly bucket: number; readonly fromSegment: number };
+  readonly writeClaimSegment: {
+    readonly bucket: number;
+    readonly segment: number;
+    readonly operations: readonly claimLog.ClaimOperation[];
+  };
+  readonly armClaimTimer: { readonly bucket: number; readonly delayMs: number };
+  readonly answerClaim: {
+    readonly token: string;
+    readonly result: claimLog.ClaimResult;
+    readonly answer: claimLog.RecordedAnswer | null;
+  };
+  readonly writeEntries: { readonly entries: readonly shared.ledgerEntry.LedgerEntry[] };
+  readonly releaseEntries: { readonly requestIds: readonly string[] };
   readonly log: { readonly message: string; readonly fields: Readonly<Record<string, unknown>> };
 }
 
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -1,4 +1,6 @@
 import type * as shared from '@jayrock/shared';
+import type * as claimLog from './claims/claimLog.js';
+import type * as member from './membership/member.js';
 import type * as requestState from './requestState.js';
 import type * as versionId from './versionId.js';
 
@@ -71,11 +73,48 @@
     readonly fingerprint: string;
     readonly crashes: readonly string[];
   };
-  readonly ledgerPressureChanged: { readonly isFull: boolean };
+  readonly probeDue: Readonly<Record<never, never>>;
+  readonly probeFailed: { readonly targetId: string };
+  readonly indirectProbeFailed: { readonly targetId: string };
+  readonly greetingReceived: { readonly greeting: Greeting };
+  readonly contactsChanged: { readonly addresses: readonly string[] };
+  readonly claimRequested: {
+    readonly bucket: number;
+    readonly operation: claimLog.ClaimOperation;
+  };
+  readonly claimTimerFired: { readonly bucket: number };
+  readonly claimLogLoaded: {
+    readonly bucket: number;
+    /** Segments from the asked one on, or null when the log could not be read. */
+    readonly segments: readonly (readonly claimLog.ClaimOperation[])[] | null;
+  };
+  readonly claimSegmentWritten: {
+    readonly bucket: number;
+    readonly result: 'committed' | 'conflict' | 'unknown' | 'refused';
+  };
+  readonly entriesHeld: {
+    readonly origin: string;
+    readonly entries: readonly shared.ledgerEntry.LedgerEntry[];
+  };
+  readonly entriesReleased: { readonly requestIds: readonly string[] };
+  readonly entriesWritten: {
+    readonly requestIds: readonly string[];
+    readonly isWritten: boolean;
+  };
+  readonly ledgerDue: Readonly<Record<never, never>>;
   readonly ticked: Readonly<Record<never, never>>;
   readonly stopRequested: Readonly<Record<never, never>>;
 }
 
+/** What two routers tell each other in a probe and its answer. */
+export interface Greeting {
+  readonly self: member.MemberUpdate;
+  readonly updates: readonly member.MemberUpdate[];
+  readonly generation: number;
+  /** Age of the sender's last confirmation of its generation, in milliseconds. */
+  readonly confirmedAgeMs: number;
+}
+
 /** Cumulative ratings of one version by one customer. */
 export interface CustomerCounters {
   readonly versionId: versionId.VersionId;
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -1,4 +1,5 @@
 import type * as shared from '@jayrock/shared';
+import * as claimBook from './claims/claimBook.js';
 import * as configView from './configView.js';
 import * as dispatch from './dispatch.js';
 import type * as events from './events.js';
@@ -136,7 +137,7 @@
   current: routerState.RouterState,
   event: events.EventOf<'ticked'>,
 ): step.Step => {
-  const healed = health.tickHealth(current, event.nowMs);
+  const healed = claimBook.forgetIdle(health.tickHealth(current, event.nowMs), event.nowMs);
   const drained = Array.from(healed.lanes.keys()).reduce(
     (done, service) => step.chainStep(done, (next) => dispatch.drainService(next, service, event)),
     step.makeStep(healed),
@@ -147,18 +148,12 @@
 const handleStopRequested = (current: routerState.RouterState): step.Step =>
   step.makeStep({ ...current, isStopping: true });
 
-const handleLedgerPressure = (
-  current: routerState.RouterState,
-  event: events.EventOf<'ledgerPressureChanged'>,
-): step.Step => step.makeStep({ ...current, isLedgerFull: event.isFull });
-
 /** Handlers of what a router learns about its configuration, its upstreams and itself. */
 export const HANDLERS = {
   configAdopted: handleConfigAdopted,
   configConfirmed: handleConfigConfirmed,
   hostsListed: handleHostsListed,
   loadReported: handleLoadReported,
-  ledgerPressureChanged: handleLedgerPressure,
   ticked: handleTicked,
   stopRequested: handleStopRequested,
 } as const;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,7 +1,14 @@
+export * as claimBook from './claims/claimBook.js';
+export * as claimLog from './claims/claimLog.js';
 export * as configView from './configView.js';
 export * as effects from './effects.js';
 export * as events from './events.js';
 export * as learning from './learning.js';
+export * as duties from './membership/duties.js';
+export * as ledgerBook from './ledger/ledgerBook.js';
+export * as member from './membership/member.js';
+export * as membership from './membership/membership.js';
+export * as memberTable from './membership/memberTable.js';
 export * as policy from './policy.js';
 export * as ratings from './ratings.js';
 export * as reduce from './reduce.js';
--- /dev/null
+++ b/packages/core/src/membership/duties.ts
@@ -0,0 +1,75 @@
+import * as shared from '@jayrock/shared';
+import type * as member from './member.js';
+import * as memberTable from './memberTable.js';
+
+/** Tasks that a few routers of a zone do for all of it. */
+export type Duty = 'configWatch' | 'ledgerCollector' | 'ratingAggregator' | 'engineOrders';
+
+const findByIds = (
+  candidates: readonly member.MemberUpdate[],
+  ids: readonly string[],
+): readonly member.MemberUpdate[] => ids.flatMap((id) => candidates.filter((one) => one.id === id));
+
+const pickMembers = (
+  key: string,
+  candidates: readonly member.MemberUpdate[],
+  count: number,
+): readonly member.MemberUpdate[] =>
+  findByIds(
+    candidates,
+    shared.rendezvous.pickRendezvous(
+      key,
+      candidates.map((one) => one.id),
+      count,
+    ),
+  );
+
+/**
+ * Lists the routers of a zone that have a duty, by rendezvous order of its live members.
+ * Views may differ for a moment, so a duty must be harmless when two routers have it.
+ */
+export const listHolders = (
+  table: memberTable.MemberTable,
+  duty: Duty,
+  zone: string,
+  count: number,
+): readonly member.MemberUpdate[] =>
+  pickMembers(`${duty}|${zone}`, memberTable.listZone(table, zone), count);
+
+/** Tells whether this router has a duty in its zone. */
+export const isHolder = (table: memberTable.MemberTable, duty: Duty, count: number): boolean =>
+  listHolders(table, duty, table.self.zone, count).some((one) => one.id === table.self.id);
+
+/** Picks the router that writes the claims of a time bucket. */
+export const pickClaimOwner = (
+  table: memberTable.MemberTable,
+  bucket: number,
+): member.MemberUpdate =>
+  pickMembers(`claims|${bucket}`, [table.self, ...memberTable.listAlive(table)], 1)[0] ??
+  table.self;
+
+/** Picks the routers that witness a router's billing entries, those of other zones first. */
+export const pickWitnesses = (
+  table: memberTable.MemberTable,
+  count: number,
+): readonly member.MemberUpdate[] => {
+  const alive = memberTable.listAlive(table).filter((one) => one.status === 'alive');
+  const ordered = pickMembers(`witness|${table.self.id}`, alive, alive.length);
+  const far = ordered.filter((one) => one.zone !== table.self.zone);
+  const near = ordered.filter((one) => one.zone === table.self.zone);
+  return [...far, ...near].slice(0, count);
+};
+
+/** Picks the router of the zone that keeps a named session's pin. */
+export const pickSessionHome = (
+  table: memberTable.MemberTable,
+  session: string,
+): member.MemberUpdate =>
+  pickMembers(`session|${session}`, memberTable.listZone(table, table.self.zone), 1)[0] ??
+  table.self;
+
+/** Tells whether this router reads an upstream's load for its zone. */
+export const isLoadReader = (table: memberTable.MemberTable, upstreamId: string): boolean => {
+  const readers = memberTable.listZone(table, table.self.zone);
+  return pickMembers(`load|${upstreamId}`, readers, 1)[0]?.id === table.self.id;
+};
--- /dev/null
+++ b/packages/core/src/membership/membership.ts
@@ -0,0 +1,201 @@
+import type * as effects from '../effects.js';
+import type * as events from '../events.js';
+import * as random from '../random.js';
+import type * as routerState from '../routerState.js';
+import * as step from '../step.js';
+import type * as member from './member.js';
+import * as memberTable from './memberTable.js';
+
+/** Time for which a suspected member may refute, in milliseconds. */
+export const SUSPICION_MS = 2_500;
+/** Members asked to probe one that did not answer. */
+const INDIRECT_PROBES = 2;
+
+const withMembers = (
+  current: routerState.RouterState,
+  members: memberTable.MemberTable,
+): routerState.RouterState => ({ ...current, members });
+
+const getConfirmedAgeMs = (current: routerState.RouterState, nowMs: number): number =>
+  Math.max(0, nowMs - current.confirmedAtMs);
+
+/** Builds what a probe and its answer carry: members' news and the state of the configuration. */
+export const makeGreeting = (
+  current: routerState.RouterState,
+  updates: readonly member.MemberUpdate[],
+  nowMs: number,
+): events.Greeting => ({
+  self: current.members.self,
+  updates,
+  generation: current.config?.generation ?? 0,
+  confirmedAgeMs: getConfirmedAgeMs(current, nowMs),
+});
+
+const makeProbe = (
+  current: routerState.RouterState,
+  target: { readonly id: string | null; readonly address: string },
+  nowMs: number,
+): step.Step => {
+  const taken = memberTable.takeRumours(current.members);
+  const next = withMembers(current, taken.table);
+  return step.makeStep(next, {
+    type: 'sendProbe',
+    targetId: target.id,
+    address: target.address,
+    greeting: makeGreeting(next, taken.updates, nowMs),
+  });
+};
+
+const shuffle = (ids: readonly string[], fraction: number): readonly string[] =>
+  ids
+    .map((id, index) => ({ id, order: random.deriveFraction(fraction, index + 11) }))
+    .toSorted((a, b) => a.order - b.order)
+    .map((item) => item.id);
+
+/** Every member is probed once a round, in a new order each round. */
+const pickTarget = (
+  table: memberTable.MemberTable,
+  fraction: number,
+): { readonly table: memberTable.MemberTable; readonly target: member.Member | null } => {
+  const alive = new Map(memberTable.listAlive(table).map((one) => [one.id, one]));
+  const left = table.round.filter((id) => alive.has(id));
+  const round = left.length > 0 ? left : shuffle(Array.from(alive.keys()), fraction);
+  const target = alive.get(round[0] ?? '') ?? null;
+  return { table: { ...table, round: round.slice(1) }, target };
+};
+
+const expireSuspects = (table: memberTable.MemberTable, nowMs: number): memberTable.MemberTable =>
+  table.members
+    .valueSeq()
+    .filter((one) => one.status === 'suspect' && nowMs - one.sinceMs >= SUSPICION_MS)
+    .reduce((next, one) => memberTable.setStatus(next, one.id, 'dead', nowMs), table);
+
+const probeContact = (
+  current: routerState.RouterState,
+  event: events.EventOf<'probeDue'>,
+): step.Step => {
+  const unknown = memberTable.listUnknownContacts(current.members);
+  const address = unknown[random.pickIndex(event.random, unknown.length)];
+  return address === undefined
+    ? step.makeStep(current)
+    : makeProbe(current, { id: null, address }, event.nowMs);
+};
+
+const handleProbeDue = (
+  current: routerState.RouterState,
+  event: events.EventOf<'probeDue'>,
+): step.Step => {
+  const expired = expireSuspects(memberTable.forgetGone(current.members, event.nowMs), event.nowMs);
+  const { table, target } = pickTarget(expired, event.random);
+  const next = withMembers(current, table);
+  const probed = target === null ? step.makeStep(next) : makeProbe(next, target, event.nowMs);
+  return step.chainStep(probed, (after) => probeContact(after, event));
+};
+
+const mergeAll = (
+  current: routerState.RouterState,
+  greeting: events.Greeting,
+  nowMs: number,
+): routerState.RouterState =>
+  withMembers(
+    current,
+    [greeting.self, ...greeting.updates].reduce(
+      (table, update) => memberTable.mergeUpdate(table, update, nowMs),
+      current.members,
+    ),
+  );
+
+/** A peer that answers clears the suspicion this router has of it. */
+const clearSuspicion = (
+  table: memberTable.MemberTable,
+  greeting: events.Greeting,
+  nowMs: number,
+): memberTable.MemberTable => {
+  const known = table.members.get(greeting.self.id);
+  if (known?.status !== 'suspect') {
+    return table;
+  }
+  const members = table.members.set(known.id, { ...known, status: 'alive', sinceMs: nowMs });
+  return { ...table, members, rumours: table.rumours.remove(known.id) };
+};
+
+/** A greater generation is fetched; the same one confirms this router's own. */
+const compareGeneration = (
+  current: routerState.RouterState,
+  greeting: events.Greeting,
+  nowMs: number,
+): step.Step => {
+  const own = current.config?.generation ?? 0;
+  if (greeting.generation > own) {
+    return step.makeStep(current, { type: 'fetchConfig', address: greeting.self.address });
+  }
+  if (greeting.generation < own || own === 0) {
+    return step.makeStep(current);
+  }
+  const confirmedAtMs = Math.max(current.confirmedAtMs, nowMs - greeting.confirmedAgeMs);
+  return step.makeStep({ ...current, confirmedAtMs });
+};
+
+const handleGreetingReceived = (
+  current: routerState.RouterState,
+  event: events.EventOf<'greetingReceived'>,
+): step.Step => {
+  const merged = mergeAll(current, event.greeting, event.nowMs);
+  const cleared = withMembers(merged, clearSuspicion(merged.members, event.greeting, event.nowMs));
+  return compareGeneration(cleared, event.greeting, event.nowMs);
+};
+
+const askOthers = (
+  current: routerState.RouterState,
+  target: member.Member,
+  event: events.EventOf<'probeFailed'>,
+): step.Step => {
+  const helpers = shuffle(
+    memberTable
+      .listAlive(current.members)
+      .filter((one) => one.id !== target.id && one.status === 'alive')
+      .map((one) => one.address),
+    event.random,
+  ).slice(0, INDIRECT_PROBES);
+  const effect: effects.EffectOf<'sendIndirectProbe'> = {
+    type: 'sendIndirectProbe',
+    targetId: target.id,
+    address: target.address,
+    helpers,
+  };
+  return step.makeStep(current, effect);
+};
+
+const handleProbeFailed = (
+  current: routerState.RouterState,
+  event: events.EventOf<'probeFailed'>,
+): step.Step => {
+  const target = current.members.members.get(event.targetId);
+  return target?.status === 'alive' ? askOthers(current, target, event) : step.makeStep(current);
+};
+
+const handleIndirectProbeFailed = (
+  current: routerState.RouterState,
+  event: events.EventOf<'indirectProbeFailed'>,
+): step.Step =>
+  step.makeStep(
+    withMembers(
+      current,
+      memberTable.setStatus(current.members, event.targetId, 'suspect', event.nowMs),
+    ),
+  );
+
+const handleContactsChanged = (
+  current: routerState.RouterState,
+  event: events.EventOf<'contactsChanged'>,
+): step.Step =>
+  step.makeStep(withMembers(current, { ...current.members, contacts: event.addresses }));
+
+/** Handlers of the events of membership. */
+export const HANDLERS = {
+  probeDue: handleProbeDue,
+  probeFailed: handleProbeFailed,
+  indirectProbeFailed: handleIndirectProbeFailed,
+  greetingReceived: handleGreetingReceived,
+  contactsChanged: handleContactsChanged,
+} as const;
--- a/packages/core/src/ratings.ts
+++ b/packages/core/src/ratings.ts
@@ -74,15 +74,36 @@
   };
 };
 
-/** Lists this router's counters in a form that peers can merge. */
-export const listOwnCounters = (ratings: RatingsState): readonly events.CustomerCounters[] =>
-  ratings.own
+const listCounters = (table: CountsByVersion): readonly events.CustomerCounters[] =>
+  table
     .entrySeq()
     .flatMap(([id, customers]) =>
       customers.entrySeq().map(([customer, counts]) => ({ versionId: id, customer, ...counts })),
     )
     .toArray();
 
+/** Lists this router's counters in a form that peers can merge. */
+export const listOwnCounters = (ratings: RatingsState): readonly events.CustomerCounters[] =>
+  listCounters(ratings.own);
+
+/** Source name of another zone's sums. */
+const ZONE_SOURCE = 'zone:';
+
+/** Lists the sums over this router's zone, in a form that other zones can merge. */
+export const listZoneCounters = (ratings: RatingsState): readonly events.CustomerCounters[] => {
+  const rows = ratings.sources
+    .filter((_, source) => !source.startsWith(ZONE_SOURCE))
+    .valueSeq()
+    .flatMap((counters) => counters)
+    .toArray();
+  const own = listOwnCounters(ratings);
+  const summed = [...own, ...rows].reduce(
+    (table, row) => addCounts(table, row, 1),
+    immutable.Map<versionId.VersionId, VersionCounts>(),
+  );
+  return listCounters(summed);
+};
+
 /** Returns the merged counts of a version. */
 export const getVersionCounts = (ratings: RatingsState, id: versionId.VersionId): VersionCounts =>
   ratings.totals.get(id, immutable.Map());
--- a/packages/core/src/reduce.ts
+++ b/packages/core/src/reduce.ts
@@ -1,8 +1,11 @@
 import * as admission from './admission.js';
 import * as attempts from './attempts.js';
+import * as claimBook from './claims/claimBook.js';
 import * as completion from './completion.js';
 import type * as events from './events.js';
 import * as fleet from './fleet.js';
+import * as ledgerBook from './ledger/ledgerBook.js';
+import * as membership from './membership/membership.js';
 import * as reroute from './reroute.js';
 import * as rollouts from './rollouts.js';
 import type * as routerState from './routerState.js';
@@ -18,8 +21,11 @@
 const HANDLERS: Handlers = {
   ...admission.HANDLERS,
   ...attempts.HANDLERS,
+  ...claimBook.HANDLERS,
   ...completion.HANDLERS,
   ...fleet.HANDLERS,
+  ...ledgerBook.HANDLERS,
+  ...membership.HANDLERS,
   ...rollouts.HANDLERS,
 };
 
--- a/packages/core/src/routerState.ts
+++ b/packages/core/src/routerState.ts
@@ -1,9 +1,12 @@
 import * as immutable from 'immutable';
 import type * as average from './average.js';
 import type * as budget from './budget.js';
+import * as claimBook from './claims/claimBook.js';
 import type * as configView from './configView.js';
 import * as laneState from './laneState.js';
 import * as learning from './learning.js';
+import * as ledgerBook from './ledger/ledgerBook.js';
+import * as memberTable from './membership/memberTable.js';
 import * as policy from './policy.js';
 import * as quarantine from './quarantine.js';
 import * as ratings from './ratings.js';
@@ -16,6 +19,10 @@
 export interface Self {
   readonly routerId: string;
   readonly zone: string;
+  /** `IP:PORT` of the listener for other routers. */
+  readonly address: string;
+  /** Largest number of billing entries kept in memory. */
+  readonly ledgerCapacity: number;
 }
 
 /** Upstreams that can run a version, split by distance. */
@@ -44,8 +51,10 @@
   readonly rollouts: immutable.Map<string, rollout.RolloutState>;
   readonly alarms: immutable.Set<versionId.VersionId>;
   readonly quarantine: quarantine.QuarantineState;
-  /** True while no further billing entries can be held. */
-  readonly isLedgerFull: boolean;
+  readonly members: memberTable.MemberTable;
+  /** Claim logs this router has read or writes, by time bucket. */
+  readonly claims: claimBook.ClaimBook;
+  readonly ledger: ledgerBook.LedgerBook;
   readonly isStopping: boolean;
 }
 
@@ -69,7 +78,15 @@
   rollouts: immutable.Map(),
   alarms: immutable.Set(),
   quarantine: quarantine.EMPTY_QUARANTINE,
-  isLedgerFull: false,
+  members: memberTable.makeTable({
+    id: self.routerId,
+    address: self.address,
+    zone: self.zone,
+    status: 'alive',
+    incarnation: 1,
+  }),
+  claims: claimBook.EMPTY_BOOK,
+  ledger: ledgerBook.makeBook(self.ledgerCapacity),
   isStopping: false,
 });
 
--- /dev/null
+++ b/packages/platform/src/configEdits.ts
@@ -0,0 +1,87 @@
+import * as crypto from 'node:crypto';
+import * as shared from '@jayrock/shared';
+import * as configStore from './configStore.js';
+import type * as keyValueStore from './keyValueStore.js';
+
+const SIGNING_KEY_BYTES = 32;
+/** Times an edit is made again on top of another one that came first. */
+const MAX_TRIES = 5;
+
+/** Both lists without their generation. */
+export interface Lists {
+  readonly plans: shared.lists.PlansList;
+  readonly models: shared.lists.ModelsList;
+}
+
+/** Why an edit was not made. */
+export type EditError =
+  configStore.ConfigError | { readonly kind: 'rejected'; readonly reason: string };
+
+type Edited = shared.outcome.Outcome<shared.lists.Configuration, EditError>;
+
+/** Changes both lists, or says why it will not. */
+export type ListEdit = (lists: Lists | null) => shared.outcome.Outcome<Lists, string>;
+
+interface Base {
+  readonly head: configStore.VersionedHead;
+  readonly configuration: shared.lists.Configuration | null;
+}
+
+const readBase = async (
+  store: keyValueStore.KeyValueStore,
+): Promise<shared.outcome.Outcome<Base, configStore.ConfigError>> => {
+  const head = await configStore.readHead(store);
+  if (!head.ok) {
+    return head;
+  }
+  if (head.value.head === null) {
+    return shared.outcome.makeOk({ head: head.value, configuration: null });
+  }
+  const fetched = await configStore.fetchConfiguration(store, head.value.head);
+  return fetched.ok
+    ? shared.outcome.makeOk({ head: head.value, configuration: fetched.value })
+    : fetched;
+};
+
+/** Reads the lists, edits them and writes them as the next generation, once. */
+export const editOnce = async (
+  store: keyValueStore.KeyValueStore,
+  edit: ListEdit,
+  expectedGeneration?: number,
+): Promise<Edited> => {
+  const base = await readBase(store);
+  if (!base.ok) {
+    return base;
+  }
+  const { configuration, head } = base.value;
+  const generation = configuration?.generation ?? 0;
+  if (expectedGeneration !== undefined && expectedGeneration !== generation) {
+    return shared.outcome.makeFailed({ kind: 'conflict', current: configuration });
+  }
+  const edited = edit(configuration);
+  if (!edited.ok) {
+    return shared.outcome.makeFailed({ kind: 'rejected', reason: edited.error });
+  }
+  return configStore.writeConfiguration(
+    store,
+    {
+      generation: generation + 1,
+      signingKey:
+        configuration?.signingKey ?? crypto.randomBytes(SIGNING_KEY_BYTES).toString('hex'),
+      plans: edited.value.plans,
+      models: edited.value.models,
+    },
+    head,
+  );
+};
+
+/** Makes an edit again on top of whatever came first; for edits that do not replace a list. */
+export const editWithRetry = async (
+  store: keyValueStore.KeyValueStore,
+  edit: ListEdit,
+  tries = MAX_TRIES,
+): Promise<Edited> => {
+  const result = await editOnce(store, edit);
+  const mayTryAgain = !result.ok && result.error.kind === 'conflict' && tries > 1;
+  return mayTryAgain ? editWithRetry(store, edit, tries - 1) : result;
+};
--- a/packages/platform/src/etcdStore.ts
+++ b/packages/platform/src/etcdStore.ts
@@ -152,6 +152,13 @@
           })
         : found;
     },
+    deletePrefix: async (prefix) => {
+      const found = await call('/v3/kv/deleterange', {
+        key: encode(prefix),
+        range_end: findRangeEnd(prefix),
+      });
+      return found.ok ? shared.outcome.makeOk(undefined) : found;
+    },
     watch: (key, onChange) => {
       const controller = new AbortController();
       const signal = AbortSignal.any([stopped.signal, controller.signal]);
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -5,3 +5,6 @@
 export * as ratingService from './ratingService.js';
 export * as configStore from './configStore.js';
 export * as etcdStore from './etcdStore.js';
+export * as budgetedStore from './budgetedStore.js';
+export * as configEdits from './configEdits.js';
+export * as rolloutEdits from './rolloutEdits.js';
--- a/packages/platform/src/keyValueStore.ts
+++ b/packages/platform/src/keyValueStore.ts
@@ -65,6 +65,8 @@
     transaction: Transaction,
     priority: CallPriority,
   ) => Promise<KeyValueOutcome<TransactionResult>>;
+  /** Deletes all keys with a prefix. */
+  readonly deletePrefix: (prefix: string, priority: CallPriority) => Promise<KeyValueOutcome<void>>;
   /** Calls back on every change of a key until stopped; it reconnects by itself. */
   readonly watch: (key: string, onChange: (entry: KeyValueEntry) => void) => StopWatch;
   readonly grantLease: (ttlSeconds: number) => Promise<KeyValueOutcome<string>>;
--- a/packages/platform/src/memoryStore.ts
+++ b/packages/platform/src/memoryStore.ts
@@ -49,6 +49,11 @@
     return { isCommitted: true, revision: this.#revision };
   }
 
+  /** Deletes all keys with a prefix. */
+  deletePrefix(prefix: string): void {
+    this.list(prefix).forEach((entry) => this.#entries.delete(entry.key));
+  }
+
   #put(put: keyValueStore.KeyValuePut): void {
     const entry = { ...put, revision: this.#revision };
     this.#entries.set(put.key, entry);
@@ -112,6 +117,7 @@
       expire();
       return shared.outcome.makeOk(table.commit(transaction));
     },
+    deletePrefix: async (prefix) => shared.outcome.makeOk(table.deletePrefix(prefix)),
     watch: (key, onChange) => table.watch(key, onChange),
     grantLease: async (ttlSeconds) =>
       shared.outcome.makeOk(table.grantLease(ttlSeconds * 1_000, Date.now())),
--- a/packages/router/src/callers/callerServer.ts
+++ b/packages/router/src/callers/callerServer.ts
@@ -10,10 +10,7 @@
 import * as sessionToken from './sessionToken.js';
 
 /** Looks up the version a named session keeps. */
-export type SessionLookup = (
-  customer: string,
-  session: string,
-) => Promise<core.requestState.SessionPin | null>;
+export type SessionLookup = (session: string) => Promise<core.requestState.SessionPin | null>;
 
 /** What the callers' listener works with. */
 export interface CallerContext {
@@ -21,6 +18,8 @@
   readonly settings: shared.settings.Settings;
   readonly pending: Map<string, pendingRequest.PendingRequest>;
   readonly findSession: SessionLookup;
+  /** Tells the platform's balancer whether to send requests here. */
+  readonly isReady: () => boolean;
 }
 
 interface Caller {
@@ -105,7 +104,6 @@
   context: CallerContext,
   reply: fastify.FastifyReply,
   pending: pendingRequest.PendingRequest,
-  session: string | null,
 ): void => {
   reply.hijack();
   context.pending.set(pending.requestId, pending);
@@ -120,7 +118,7 @@
     customer: pending.customer,
     shape: pending.shape,
     pin: pending.pin,
-    session,
+    session: pending.session,
   });
 };
 
@@ -135,7 +133,7 @@
   if (token !== null) {
     return sessionToken.verifyToken(token, customer, admitted.config.source.signingKey);
   }
-  return session === null ? null : context.findSession(customer, session);
+  return session === null ? null : context.findSession(session);
 };
 
 const makeChatSink = (
@@ -179,9 +177,10 @@
     body: parsed.value.body,
     prompt: parsed.value.prompt,
     pin,
+    session,
     arrivedAtMs: Date.now(),
   });
-  openRequest(context, reply, pending, session);
+  openRequest(context, reply, pending);
   return undefined;
 };
 
@@ -221,9 +220,10 @@
     body,
     prompt: '',
     pin: null,
+    session: null,
     arrivedAtMs: Date.now(),
   });
-  openRequest(context, reply, pending, null);
+  openRequest(context, reply, pending);
   return undefined;
 };
 
@@ -268,6 +268,7 @@
   });
   server.setErrorHandler((error, _, reply) => handleError(error, reply));
   server.setNotFoundHandler((_, reply) => refuse(reply, 'notFound'));
+  server.get('/healthz', (_, reply) => reply.code(context.isReady() ? 200 : 503).send());
   server.post('/v1/chat/completions', (request, reply) => handleChat(context, request, reply));
   server.get('/v1/models', (request, reply) => listModels(context, request, reply));
   server.post('/services/:name/*', (request, reply) => handleCall(context, request, reply));
--- a/packages/router/src/claims/claimService.ts
+++ b/packages/router/src/claims/claimService.ts
@@ -1,32 +1,171 @@
+import * as core from '@jayrock/core';
 import type * as platform from '@jayrock/platform';
-import type * as replySink from '../callers/replySink.js';
+import * as shared from '@jayrock/shared';
+import type * as messages from '../peers/messages.js';
+import type * as rpcClient from '../peers/rpcClient.js';
+import type * as runtime from '../runtime.js';
 
-/** Result of a claim, with the recorded answer when there is one. */
-export interface SettledClaim {
-  readonly result: 'granted' | 'answered' | 'mayHaveRun' | 'unavailable';
-  readonly answer: replySink.CallAnswer | null;
-}
+/** Time for which a request's key is kept, in milliseconds; older ones may have run. */
+export const KEPT_MS = 60 * 60_000;
+/** Time for the owner of a bucket to answer, in milliseconds. */
+const OWNER_TIMEOUT_MS = 1_000;
+/** Pause before a claim that was told "unavailable" is released, in milliseconds. */
+const RELEASE_DELAY_MS = 3_000;
+/** Time after which old claim logs are deleted, in milliseconds. */
+const DELETE_AFTER_MS = 2 * KEPT_MS;
+/** Largest answer that is recorded for resends, in characters. */
+const MAX_ANSWER_CHARACTERS = 4_096;
+
+const LOG_PREFIX = 'claims/';
+const NUMBER_WIDTH = 12;
 
 /** Claims for work that may not be repeated. */
 export interface ClaimService {
-  readonly claim: (requestId: string, customer: string) => Promise<SettledClaim>;
-  readonly recordAnswer: (requestId: string, answer: replySink.CallAnswer) => void;
+  readonly claim: (requestId: string) => Promise<messages.ClaimReply>;
+  readonly recordAnswer: (requestId: string, answer: core.claimLog.RecordedAnswer) => void;
   readonly release: (requestId: string) => void;
+  /** Applies an operation that a peer sends to the owner it believes in. */
+  readonly serveOperation: (message: messages.ClaimMessage) => Promise<messages.ClaimReply>;
+  readonly loadLog: (effect: core.effects.EffectOf<'loadClaimLog'>) => void;
+  readonly writeSegment: (effect: core.effects.EffectOf<'writeClaimSegment'>) => void;
+  readonly answerClaim: (effect: core.effects.EffectOf<'answerClaim'>) => void;
+  /** Deletes the logs of one bucket that is older than any kept key. */
+  readonly deleteOld: (nowMs: number) => Promise<void>;
 }
 
-/** Makes a claim service that writes one key for each claim. */
-export const makeSingleKeyClaims = (store: platform.keyValueStore.KeyValueStore): ClaimService => ({
-  claim: async (requestId) => {
-    const key = `claims/single/${requestId}`;
-    const result = await store.commit(
-      { checks: [{ key, revision: 0 }], puts: [{ key, value: '{}' }] },
-      'claims',
-    );
-    if (!result.ok) {
-      return { result: 'unavailable', answer: null };
+const pad = (value: number): string => String(value).padStart(NUMBER_WIDTH, '0');
+
+const makeBucketPrefix = (bucket: number): string => `${LOG_PREFIX}${pad(bucket)}/`;
+
+const UNAVAILABLE: messages.ClaimReply = { result: 'unavailable', answer: null };
+const MAY_HAVE_RUN: messages.ClaimReply = { result: 'mayHaveRun', answer: null };
+
+const findBucket = (requestId: string): number => {
+  const key = requestId.split('/').at(-1) ?? '';
+  return Math.floor(shared.requestId.readIdTimeMs(key) / core.claimBook.BUCKET_MS);
+};
+
+const isTooOld = (requestId: string, nowMs: number): boolean =>
+  nowMs - findBucket(requestId) * core.claimBook.BUCKET_MS > KEPT_MS;
+
+const parseSegment = (text: string): readonly core.claimLog.ClaimOperation[] =>
+  JSON.parse(text) as readonly core.claimLog.ClaimOperation[];
+
+/** Segments must follow each other without a gap; a gap means that the list is not whole. */
+const readSegments = async (
+  store: platform.keyValueStore.KeyValueStore,
+  bucket: number,
+  fromSegment: number,
+): Promise<readonly (readonly core.claimLog.ClaimOperation[])[] | null> => {
+  const prefix = makeBucketPrefix(bucket);
+  const found = await store.list(prefix, 'claims', `${prefix}${pad(fromSegment)}`);
+  if (!found.ok) {
+    return null;
+  }
+  const isWhole = found.value.every(
+    (entry, index) => entry.key === `${prefix}${pad(fromSegment + index)}`,
+  );
+  return isWhole ? found.value.map((entry) => parseSegment(entry.value)) : null;
+};
+
+/** Makes the claim service of a router. */
+export const makeClaimService = (
+  node: runtime.Runtime,
+  store: platform.keyValueStore.KeyValueStore,
+  client: rpcClient.RpcClient,
+): ClaimService => {
+  const tokens = new Map<string, string>();
+  const waiting = new Map<string, (reply: messages.ClaimReply) => void>();
+
+  const runOperation = (message: messages.ClaimMessage): Promise<messages.ClaimReply> => {
+    if (message.operation.kind !== 'claim') {
+      node.dispatch({ type: 'claimRequested', ...message });
+      return Promise.resolve(UNAVAILABLE);
+    }
+    return new Promise((resolve) => {
+      waiting.set(message.operation.token, resolve);
+      node.dispatch({ type: 'claimRequested', ...message });
+    });
+  };
+  /** Sends an operation to the bucket's owner; without an answer this router does it itself. */
+  const sendOperation = async (message: messages.ClaimMessage): Promise<messages.ClaimReply> => {
+    const table = node.getState().members;
+    const owner = core.duties.pickClaimOwner(table, message.bucket);
+    if (owner.id === table.self.id) {
+      return runOperation(message);
+    }
+    const reply = await client.call(owner.address, 'claim', message, OWNER_TIMEOUT_MS);
+    return reply ?? runOperation(message);
+  };
+  const release = (requestId: string): void => {
+    const token = tokens.get(requestId);
+    tokens.delete(requestId);
+    if (token !== undefined) {
+      const operation = { kind: 'release' as const, id: requestId, token };
+      sendOperation({ bucket: findBucket(requestId), operation }).catch(() => undefined);
     }
-    return { result: result.value.isCommitted ? 'granted' : 'mayHaveRun', answer: null };
-  },
-  recordAnswer: () => undefined,
-  release: () => undefined,
-});
+  };
+  return {
+    claim: async (requestId) => {
+      if (isTooOld(requestId, Date.now())) {
+        return MAY_HAVE_RUN;
+      }
+      const token = shared.requestId.makeRequestId();
+      tokens.set(requestId, token);
+      const operation = { kind: 'claim' as const, id: requestId, token };
+      const reply = await sendOperation({ bucket: findBucket(requestId), operation });
+      if (reply.result === 'unavailable') {
+        // The write may still land; a later release keeps a resend from being told "may have run".
+        setTimeout(() => release(requestId), RELEASE_DELAY_MS).unref();
+      } else if (reply.result !== 'granted') {
+        tokens.delete(requestId);
+      }
+      return reply;
+    },
+    recordAnswer: (requestId, answer) => {
+      const token = tokens.get(requestId);
+      tokens.delete(requestId);
+      if (token !== undefined && answer.body.length <= MAX_ANSWER_CHARACTERS) {
+        const operation = { kind: 'answer' as const, id: requestId, token, answer };
+        sendOperation({ bucket: findBucket(requestId), operation }).catch(() => undefined);
+      }
+    },
+    release,
+    serveOperation: runOperation,
+    loadLog: ({ bucket, fromSegment }) => {
+      readSegments(store, bucket, fromSegment)
+        .catch(() => null)
+        .then((segments) => node.dispatch({ type: 'claimLogLoaded', bucket, segments }))
+        .catch(() => undefined);
+    },
+    writeSegment: ({ bucket, segment, operations }) => {
+      const key = `${makeBucketPrefix(bucket)}${pad(segment)}`;
+      store
+        .commit(
+          { checks: [{ key, revision: 0 }], puts: [{ key, value: JSON.stringify(operations) }] },
+          'claims',
+        )
+        .then((result) => {
+          const written = result.ok && result.value.isCommitted ? 'committed' : 'conflict';
+          const failed = result.ok ? written : result.error;
+          node.dispatch({
+            type: 'claimSegmentWritten',
+            bucket,
+            result: failed === 'overBudget' ? 'refused' : failed,
+          });
+        })
+        .catch(() => node.dispatch({ type: 'claimSegmentWritten', bucket, result: 'unknown' }));
+    },
+    answerClaim: ({ token, result, answer }) => {
+      waiting.get(token)?.({ result, answer });
+      waiting.delete(token);
+    },
+    deleteOld: async (nowMs) => {
+      const bucket = Math.floor((nowMs - DELETE_AFTER_MS) / core.claimBook.BUCKET_MS);
+      const table = node.getState().members;
+      if (core.duties.pickClaimOwner(table, bucket).id === table.self.id) {
+        await store.deletePrefix(makeBucketPrefix(bucket), 'other');
+      }
+    },
+  };
+};
--- a/packages/router/src/effectRunners.ts
+++ b/packages/router/src/effectRunners.ts
@@ -6,6 +6,7 @@
 import * as sessionToken from './callers/sessionToken.js';
 import type * as claimService from './claims/claimService.js';
 import type * as ledgerService from './ledger/ledgerService.js';
+import type * as namedSessions from './namedSessions.js';
 import type * as peerService from './peers/peerService.js';
 import type * as pendingRequest from './pendingRequest.js';
 import type * as runtime from './runtime.js';
@@ -25,6 +26,7 @@
   readonly peers: peerService.PeerService;
   readonly levels: serviceLevels.ServiceLevels;
   readonly log: pino.Logger;
+  readonly sessions: namedSessions.NamedSessions;
   readonly proposeRollout: (change: core.effects.EffectOf<'proposeRollout'>) => void;
 }
 
@@ -110,6 +112,9 @@
   pending: Pending,
   effect: core.effects.EffectOf<'finishAnswer'>,
 ): void => {
+  if (pending.session !== null && effect.pin !== null) {
+    context.sessions.record(pending.session, effect.pin);
+  }
   if (pending.answer !== null) {
     context.claims.recordAnswer(pending.requestId, pending.answer);
   }
@@ -163,9 +168,9 @@
     .catch((error: unknown) => context.log.error({ error }, 'rating failed'));
 };
 
-const writeClaim = (context: RunnerContext, requestId: string, customer: string): void => {
+const writeClaim = (context: RunnerContext, requestId: string): void => {
   context.claims
-    .claim(requestId, customer)
+    .claim(requestId)
     .then((settled) => {
       withPending(context, requestId, (pending) => {
         pending.answer = settled.answer;
@@ -179,7 +184,7 @@
 export const makeEffectRunners = (context: RunnerContext): runtime.EffectRunners => ({
   refuse: (effect) =>
     withPending(context, effect.requestId, (pending) => refuse(context, pending, effect)),
-  writeClaim: (effect) => writeClaim(context, effect.requestId, effect.customer),
+  writeClaim: (effect) => writeClaim(context, effect.requestId),
   releaseClaim: (effect) => context.claims.release(effect.requestId),
   startAttempt: (effect) =>
     withPending(context, effect.requestId, (pending) =>
@@ -198,14 +203,9 @@
     withPending(context, effect.requestId, (pending) => rateHeldAnswer(context, pending, effect)),
   rateAnswer: (effect) =>
     withPending(context, effect.requestId, (pending) => rateAnswer(context, pending, effect)),
-  witnessEntry: (effect) => {
-    context.ledger
-      .add(effect.entry)
-      .then(() =>
-        context.node.dispatch({ type: 'entryWitnessed', requestId: effect.entry.requestId }),
-      )
-      .catch((error: unknown) => context.log.error({ error }, 'witness failed'));
-  },
+  witnessEntry: (effect) => context.ledger.witness(effect.entry),
+  writeEntries: (effect) => context.ledger.writeEntries(effect.entries),
+  releaseEntries: (effect) => context.ledger.releaseEntries(effect.requestIds),
   finishAnswer: (effect) =>
     withPending(context, effect.requestId, (pending) => finishAnswer(context, pending, effect)),
   armTimer: (effect) => {
@@ -217,6 +217,18 @@
   broadcastAlarm: (effect) => context.peers.broadcastAlarm(effect.versionId),
   broadcastCrashEvidence: (effect) =>
     context.peers.broadcastCrashEvidence(effect.fingerprint, effect.crashes),
+  sendProbe: (effect) => context.peers.sendProbe(effect),
+  sendIndirectProbe: (effect) => context.peers.sendIndirectProbe(effect),
+  fetchConfig: (effect) => context.peers.fetchConfig(effect.address),
+  loadClaimLog: (effect) => context.claims.loadLog(effect),
+  writeClaimSegment: (effect) => context.claims.writeSegment(effect),
+  armClaimTimer: (effect) => {
+    setTimeout(
+      () => context.node.dispatch({ type: 'claimTimerFired', bucket: effect.bucket }),
+      effect.delayMs,
+    );
+  },
+  answerClaim: (effect) => context.claims.answerClaim(effect),
   proposeRollout: (effect) => context.proposeRollout(effect),
   log: (effect) => context.log.info(effect.fields, effect.message),
 });
--- a/packages/router/src/feeds/configFeed.ts
+++ b/packages/router/src/feeds/configFeed.ts
@@ -1,8 +1,19 @@
+import * as core from '@jayrock/core';
 import * as platform from '@jayrock/platform';
 import type * as runtime from '../runtime.js';
 
-/** Time between two looks at the head when nothing changes, in milliseconds. */
-const CONFIRM_INTERVAL_MS = 3_000;
+/** Routers of a zone that hold the watch on the configuration. */
+const WATCHERS_PER_ZONE = 2;
+/** Time between two looks at the head by a router that watches it, in milliseconds. */
+const WATCHER_INTERVAL_MS = 3_000;
+/** Time between two looks at the head by any other router, in milliseconds. */
+const OTHER_INTERVAL_MS = 30_000;
+/** Time between two looks while no configuration is known, in milliseconds. */
+const START_INTERVAL_MS = 500;
+/** Time between two decisions on what to do, in milliseconds. */
+const STEP_MS = 250;
+/** Share by which an interval varies, so that routers do not read at the same time. */
+const JITTER = 0.2;
 
 /** Follows the configuration in the key-value service. */
 export interface ConfigFeed {
@@ -10,36 +21,78 @@
   readonly stop: () => void;
 }
 
-/** Reads the configuration now, on every change of its head, and from time to time. */
+/**
+ * Reads the head when a watch shows a change, and from time to time. Only the first routers of the
+ * zone watch; the others learn of a change from them, so calls grow with zones and not with routers.
+ */
 export const startConfigFeed = (
   node: runtime.Runtime,
   store: platform.keyValueStore.KeyValueStore,
+  onNewGeneration: (generation: number) => void,
 ): ConfigFeed => {
+  let stopWatch: platform.keyValueStore.StopWatch | null = null;
+  let nextReadAtMs = 0;
+  let isReading = false;
+  const getGeneration = (): number => node.getState().config?.generation ?? 0;
+
+  const fetchNewer = async (head: platform.configStore.ConfigHead): Promise<void> => {
+    const fetched = await platform.configStore.fetchConfiguration(store, head);
+    if (fetched.ok) {
+      node.dispatch({ type: 'configAdopted', configuration: fetched.value });
+      onNewGeneration(head.generation);
+    }
+  };
   const refresh = async (): Promise<void> => {
     const found = await platform.configStore.readHead(store);
     if (!found.ok || found.value.head === null) {
       return;
     }
-    const known = node.getState().config?.generation ?? 0;
-    if (found.value.head.generation > known) {
-      const fetched = await platform.configStore.fetchConfiguration(store, found.value.head);
-      if (fetched.ok) {
-        node.dispatch({ type: 'configAdopted', configuration: fetched.value });
-      }
+    if (found.value.head.generation > getGeneration()) {
+      await fetchNewer(found.value.head);
+    } else if (found.value.head.generation === getGeneration()) {
+      node.dispatch({ type: 'configConfirmed' });
+    }
+  };
+  const isWatcher = (): boolean =>
+    core.duties.isHolder(node.getState().members, 'configWatch', WATCHERS_PER_ZONE);
+  const getIntervalMs = (): number => {
+    if (getGeneration() === 0) {
+      return START_INTERVAL_MS;
+    }
+    const base = isWatcher() ? WATCHER_INTERVAL_MS : OTHER_INTERVAL_MS;
+    return base * (1 - JITTER + 2 * JITTER * Math.random());
+  };
+  const readIfDue = async (): Promise<void> => {
+    if (isReading || Date.now() < nextReadAtMs) {
       return;
     }
-    node.dispatch({ type: 'configConfirmed' });
+    isReading = true;
+    nextReadAtMs = Date.now() + getIntervalMs();
+    await refresh().finally(() => {
+      isReading = false;
+    });
   };
-  const run = (): void => {
-    refresh().catch(() => undefined);
+  const readNow = (): void => {
+    nextReadAtMs = 0;
+    readIfDue().catch(() => undefined);
   };
-  const stopWatch = store.watch(platform.configStore.HEAD_KEY, run);
-  const timer = setInterval(run, CONFIRM_INTERVAL_MS);
+  const updateWatch = (): void => {
+    if (isWatcher() && stopWatch === null) {
+      stopWatch = store.watch(platform.configStore.HEAD_KEY, readNow);
+    } else if (!isWatcher() && stopWatch !== null) {
+      stopWatch();
+      stopWatch = null;
+    }
+  };
+  const timer = setInterval(() => {
+    updateWatch();
+    readIfDue().catch(() => undefined);
+  }, STEP_MS);
   return {
     refresh,
     stop: () => {
-      stopWatch();
       clearInterval(timer);
+      stopWatch?.();
     },
   };
 };
--- a/packages/router/src/feeds/loadFeed.ts
+++ b/packages/router/src/feeds/loadFeed.ts
@@ -1,33 +1,68 @@
+import * as core from '@jayrock/core';
 import * as platform from '@jayrock/platform';
+import type * as shared from '@jayrock/shared';
+import type * as rpcClient from '../peers/rpcClient.js';
 import type * as runtime from '../runtime.js';
 import type * as hostFeed from './hostFeed.js';
 
-/** Time between two looks at upstreams' loads, in milliseconds. */
-const INTERVAL_MS = 500;
+/** Time between two looks at the load of an upstream in this zone, in milliseconds. */
+const LOCAL_INTERVAL_MS = 1_000;
+/** Rounds of local looks for each look at upstreams of other zones. */
+const REMOTE_EVERY = 5;
 
-/** Follows the load reports of the upstreams that `isAssigned` picks. */
+interface Report {
+  readonly upstreamId: string;
+  readonly report: shared.hosts.LoadReport;
+}
+
+/**
+ * Follows the upstreams' load reports. Each upstream is read by one router of the zone, which passes
+ * the report on to the others, so that an upstream is asked once a zone and not once a router.
+ */
 export const startLoadFeed = (
   node: runtime.Runtime,
-  isAssigned: (upstreamId: string) => boolean,
+  client: rpcClient.RpcClient,
 ): hostFeed.Feed => {
-  const waiting = new Set<string>();
-  const update = async (upstreamId: string, address: string): Promise<void> => {
-    waiting.add(upstreamId);
-    const report = await platform.loadReports.fetchLoadReport(address);
-    waiting.delete(upstreamId);
-    if (report !== null) {
-      node.dispatch({ type: 'loadReported', upstreamId, report });
+  const reading = new Set<string>();
+  let round = 0;
+  const readReport = async (host: shared.hosts.Host): Promise<Report | null> => {
+    reading.add(host.id);
+    const report = await platform.loadReports.fetchLoadReport(host.address);
+    reading.delete(host.id);
+    if (report === null) {
+      return null;
     }
+    node.dispatch({ type: 'loadReported', upstreamId: host.id, report });
+    return { upstreamId: host.id, report };
+  };
+  const pushReports = (reports: readonly Report[]): void => {
+    const { members } = node.getState();
+    core.memberTable
+      .listZone(members, members.self.zone)
+      .filter((peer) => peer.id !== members.self.id && reports.length > 0)
+      .forEach((peer) => {
+        client.call(peer.address, 'pushLoads', { reports }).catch(() => undefined);
+      });
   };
-  const run = async (): Promise<void> => {
-    const due = node
+  const readAll = async (isDue: (host: shared.hosts.Host) => boolean): Promise<void> => {
+    const hosts = node
       .getState()
       .upstreams.valueSeq()
-      .filter((upstream) => isAssigned(upstream.host.id) && !waiting.has(upstream.host.id))
+      .map((upstream) => upstream.host)
+      .filter((host) => !reading.has(host.id) && isDue(host))
       .toArray();
-    await Promise.all(due.map((upstream) => update(upstream.host.id, upstream.host.address)));
+    const reports = await Promise.all(hosts.map(readReport));
+    pushReports(reports.filter((report) => report !== null));
+  };
+  const run = (): void => {
+    round += 1;
+    const { members, self, upstreams } = node.getState();
+    const isDue = (host: shared.hosts.Host): boolean =>
+      upstreams.get(host.id)?.reportedAtMs === 0 ||
+      ((host.zone === self.zone || round % REMOTE_EVERY === 0) &&
+        core.duties.isLoadReader(members, host.id));
+    readAll(isDue).catch(() => undefined);
   };
-  const runSafely = (): Promise<void> => run().catch(() => undefined);
-  const timer = setInterval(runSafely, INTERVAL_MS);
-  return { first: runSafely(), stop: () => clearInterval(timer) };
+  const timer = setInterval(run, LOCAL_INTERVAL_MS);
+  return { first: readAll(() => true).catch(() => undefined), stop: () => clearInterval(timer) };
 };
--- a/packages/router/src/ledger/ledgerService.ts
+++ b/packages/router/src/ledger/ledgerService.ts
@@ -1,50 +1,171 @@
+import * as core from '@jayrock/core';
 import type * as platform from '@jayrock/platform';
-import type * as shared from '@jayrock/shared';
+import * as shared from '@jayrock/shared';
+import type * as rpcClient from '../peers/rpcClient.js';
+import type * as runtime from '../runtime.js';
 
-/** Takes billing entries and keeps them until they are written. */
+/** Time between two writes, in milliseconds. */
+const WRITE_INTERVAL_MS = 500;
+/** Time in which entries are gathered into one message to a witness, in milliseconds. */
+const WITNESS_LINGER_MS = 2;
+/** Time for a witness to answer, in milliseconds. */
+const WITNESS_TIMEOUT_MS = 250;
+/** Witnesses tried one after the other. */
+const WITNESS_TRIES = 3;
+/** Time for the zone's collector to answer, in milliseconds. */
+const COLLECTOR_TIMEOUT_MS = 3_000;
+/** Time in which a collector gathers entries of its zone into one write, in milliseconds. */
+const COLLECT_LINGER_MS = 500;
+const KEY_DIGITS = 24;
+const MS_PER_HOUR = 3_600_000;
+
+type Entry = shared.ledgerEntry.LedgerEntry;
+
+/** Keeps billing entries safe until they are written. */
 export interface LedgerService {
-  /** Resolves once the entry cannot be lost with this process alone. */
-  readonly add: (entry: shared.ledgerEntry.LedgerEntry) => Promise<void>;
-  /** Writes what waits; false when entries still wait. */
-  readonly flush: () => Promise<boolean>;
+  /** Hands an entry to a witness; the reducer is told once it is safe. */
+  readonly witness: (entry: Entry) => void;
+  readonly writeEntries: (entries: readonly Entry[]) => void;
+  readonly releaseEntries: (requestIds: readonly string[]) => void;
+  /** Writes entries of routers of the zone. */
+  readonly serveSubmission: (entries: readonly Entry[]) => Promise<boolean>;
+  /** Writes all that waits; resolves when nothing does or the time is over. */
+  readonly flush: (timeoutMs: number) => Promise<boolean>;
   readonly stop: () => void;
 }
 
-const FLUSH_INTERVAL_MS = 200;
+/** Names a batch by its content, so that writing it twice is harmless. */
+const makeKey = (zone: string, entries: readonly Entry[]): string => {
+  const digest = shared.hash.hashDigest(entries.map((entry) => entry.requestId).join('|'));
+  const hour = Math.floor((entries[0]?.atMs ?? 0) / MS_PER_HOUR);
+  return `ledger/${hour}/${zone}/${digest.slice(0, KEY_DIGITS)}`;
+};
 
-/** Makes a ledger that group-commits this router's entries. */
-export const makeLedgerService = (
+interface Submission {
+  readonly entries: readonly Entry[];
+  readonly settle: (isWritten: boolean) => void;
+}
+
+const wait = (delayMs: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, delayMs);
+  });
+
+/** Makes the ledger service of a router. */
+export const startLedgerService = (
+  node: runtime.Runtime,
   store: platform.keyValueStore.KeyValueStore,
-  zone: string,
-  routerId: string,
+  client: rpcClient.RpcClient,
 ): LedgerService => {
-  let waiting: readonly shared.ledgerEntry.LedgerEntry[] = [];
-  let sequence = 0;
-  const flush = async (): Promise<boolean> => {
-    const batch = waiting;
-    if (batch.length === 0) {
-      return true;
+  let unwitnessed: readonly Entry[] = [];
+  let witnessTimer: NodeJS.Timeout | null = null;
+  let inbox: readonly Submission[] = [];
+  let inboxTimer: NodeJS.Timeout | null = null;
+  const witnesses = new Map<string, string>();
+  const getTable = (): core.memberTable.MemberTable => node.getState().members;
+
+  const commit = async (entries: readonly Entry[]): Promise<boolean> => {
+    const put = { key: makeKey(getTable().self.zone, entries), value: JSON.stringify(entries) };
+    const result = await store.commit({ checks: [], puts: [put] }, 'ledger');
+    return result.ok;
+  };
+  const writeInbox = async (): Promise<void> => {
+    const batch = inbox;
+    inbox = [];
+    inboxTimer = null;
+    const isWritten = await commit(batch.flatMap((submission) => submission.entries));
+    batch.forEach((submission) => submission.settle(isWritten));
+  };
+  const serveSubmission = (entries: readonly Entry[]): Promise<boolean> =>
+    new Promise((resolve) => {
+      inbox = [...inbox, { entries, settle: resolve }];
+      inboxTimer ??= setTimeout(() => {
+        writeInbox().catch(() => undefined);
+      }, COLLECT_LINGER_MS);
+    });
+  /** Entries go through the zone's collector; without its answer this router writes them. */
+  const submit = async (entries: readonly Entry[]): Promise<boolean> => {
+    const table = getTable();
+    const [collector] = core.duties.listHolders(table, 'ledgerCollector', table.self.zone, 1);
+    if (collector === undefined || collector.id === table.self.id) {
+      return serveSubmission(entries);
     }
-    const key = `ledger/${zone}/${routerId}/${String(sequence).padStart(8, '0')}`;
-    const result = await store.commit(
-      { checks: [], puts: [{ key, value: JSON.stringify(batch) }] },
-      'ledger',
+    const reply = await client.call(
+      collector.address,
+      'submitEntries',
+      { entries },
+      COLLECTOR_TIMEOUT_MS,
     );
-    if (!result.ok) {
-      return false;
+    return reply === null ? commit(entries) : reply.isWritten;
+  };
+  const findWitness = async (entries: readonly Entry[]): Promise<string | null> => {
+    const table = getTable();
+    const peers = core.duties.pickWitnesses(table, WITNESS_TRIES);
+    return peers.reduce<Promise<string | null>>(async (before, peer) => {
+      const known = await before;
+      if (known !== null) {
+        return known;
+      }
+      const params = { origin: table.self.id, entries };
+      const reply = await client.call(peer.address, 'holdEntries', params, WITNESS_TIMEOUT_MS);
+      return reply === null ? null : peer.address;
+    }, Promise.resolve(null));
+  };
+  const witnessAll = async (): Promise<void> => {
+    const entries = unwitnessed;
+    unwitnessed = [];
+    witnessTimer = null;
+    const address = await findWitness(entries);
+    if (address === null) {
+      // Without a witness the entry is written before the caller gets the end, if the store answers.
+      await Promise.race([commit(entries), wait(WITNESS_TIMEOUT_MS)]);
     }
-    sequence += 1;
-    waiting = waiting.slice(batch.length);
-    return waiting.length === 0;
+    entries.forEach((entry) => {
+      if (address !== null) {
+        witnesses.set(entry.requestId, address);
+      }
+      node.dispatch({ type: 'entryWitnessed', requestId: entry.requestId });
+    });
   };
-  const timer = setInterval(() => {
-    flush().catch(() => undefined);
-  }, FLUSH_INTERVAL_MS);
+  const groupByWitness = (requestIds: readonly string[]): ReadonlyMap<string, readonly string[]> =>
+    requestIds.reduce((groups, id) => {
+      const address = witnesses.get(id);
+      witnesses.delete(id);
+      return address === undefined
+        ? groups
+        : new Map(groups).set(address, [...(groups.get(address) ?? []), id]);
+    }, new Map<string, readonly string[]>());
+  const timer = setInterval(() => node.dispatch({ type: 'ledgerDue' }), WRITE_INTERVAL_MS);
+  const hasPending = (): boolean => node.getState().ledger.pending.size > 0;
   return {
-    add: async (entry) => {
-      waiting = [...waiting, entry];
+    witness: (entry) => {
+      unwitnessed = [...unwitnessed, entry];
+      witnessTimer ??= setTimeout(() => {
+        witnessAll().catch(() => undefined);
+      }, WITNESS_LINGER_MS);
+    },
+    writeEntries: (entries) => {
+      const requestIds = entries.map((entry) => entry.requestId);
+      submit(entries)
+        .catch(() => false)
+        .then((isWritten) => node.dispatch({ type: 'entriesWritten', requestIds, isWritten }))
+        .catch(() => undefined);
+    },
+    releaseEntries: (requestIds) => {
+      groupByWitness(requestIds).forEach((ids, address) => {
+        client.call(address, 'releaseEntries', { requestIds: ids }).catch(() => undefined);
+      });
+    },
+    serveSubmission,
+    flush: async (timeoutMs) => {
+      const untilMs = Date.now() + timeoutMs;
+      while (hasPending() && Date.now() < untilMs) {
+        node.dispatch({ type: 'ledgerDue' });
+        // eslint-disable-next-line no-await-in-loop -- each look follows a pause
+        await wait(WITNESS_LINGER_MS * 10);
+      }
+      return !hasPending();
     },
-    flush,
     stop: () => clearInterval(timer),
   };
 };
--- /dev/null
+++ b/packages/router/src/peers/messages.ts
@@ -0,0 +1,105 @@
+import type * as core from '@jayrock/core';
+import type * as shared from '@jayrock/shared';
+
+/** A claim operation with its time bucket. */
+export interface ClaimMessage {
+  readonly bucket: number;
+  readonly operation: core.claimLog.ClaimOperation;
+}
+
+/** Result of a claim operation. */
+export interface ClaimReply {
+  readonly result: core.claimLog.ClaimResult;
+  readonly answer: core.claimLog.RecordedAnswer | null;
+}
+
+/** Evidence that a request was present at upstream crashes. */
+export interface CrashEvidence {
+  readonly fingerprint: string;
+  readonly crashes: readonly string[];
+}
+
+/** Parameters and results of all calls between routers, by method. */
+export interface PeerMethods {
+  readonly probe: {
+    readonly params: { readonly greeting: core.events.Greeting };
+    readonly result: { readonly greeting: core.events.Greeting };
+  };
+  readonly probeFor: {
+    readonly params: { readonly address: string };
+    readonly result: { readonly isAlive: boolean };
+  };
+  readonly getConfig: {
+    readonly params: { readonly above: number };
+    /** The configuration as compressed JSON in base64, or null when it is not newer. */
+    readonly result: { readonly packed: string | null };
+  };
+  readonly announceConfig: {
+    readonly params: { readonly generation: number; readonly address: string };
+    readonly result: null;
+  };
+  readonly alert: {
+    readonly params: {
+      readonly alarms: readonly string[];
+      readonly evidence: readonly CrashEvidence[];
+    };
+    readonly result: null;
+  };
+  readonly pushRatings: {
+    readonly params: {
+      readonly source: string;
+      readonly counters: readonly core.events.CustomerCounters[];
+    };
+    readonly result: null;
+  };
+  readonly pushLoads: {
+    readonly params: {
+      readonly reports: readonly {
+        readonly upstreamId: string;
+        readonly report: shared.hosts.LoadReport;
+      }[];
+    };
+    readonly result: null;
+  };
+  readonly claim: { readonly params: ClaimMessage; readonly result: ClaimReply };
+  readonly holdEntries: {
+    readonly params: {
+      readonly origin: string;
+      readonly entries: readonly shared.ledgerEntry.LedgerEntry[];
+    };
+    readonly result: null;
+  };
+  readonly releaseEntries: {
+    readonly params: { readonly requestIds: readonly string[] };
+    readonly result: null;
+  };
+  readonly submitEntries: {
+    readonly params: { readonly entries: readonly shared.ledgerEntry.LedgerEntry[] };
+    readonly result: { readonly isWritten: boolean };
+  };
+  readonly getSession: {
+    readonly params: { readonly session: string };
+    readonly result: { readonly versions: Readonly<Record<string, string>> | null };
+  };
+  readonly putSession: {
+    readonly params: {
+      readonly session: string;
+      readonly versions: Readonly<Record<string, string>>;
+    };
+    readonly result: null;
+  };
+}
+
+/** Name of a call between routers. */
+export type PeerMethod = keyof PeerMethods;
+
+/** Parameters of a call. */
+export type PeerParams<M extends PeerMethod> = PeerMethods[M]['params'];
+
+/** Result of a call. */
+export type PeerResult<M extends PeerMethod> = PeerMethods[M]['result'];
+
+/** Answers all calls, by method. */
+export type PeerHandlers = {
+  readonly [M in PeerMethod]: (params: PeerParams<M>) => PeerResult<M> | Promise<PeerResult<M>>;
+};
--- /dev/null
+++ b/packages/router/src/peers/peerHandlers.ts
@@ -0,0 +1,101 @@
+import * as core from '@jayrock/core';
+import type * as claimService from '../claims/claimService.js';
+import type * as ledgerService from '../ledger/ledgerService.js';
+import type * as runtime from '../runtime.js';
+import type * as namedSessions from '../namedSessions.js';
+import * as configPacking from './configPacking.js';
+import type * as messages from './messages.js';
+import type * as peerService from './peerService.js';
+import type * as rpcClient from './rpcClient.js';
+
+/** What the answers to peers' calls work with. */
+export interface PeerContext {
+  readonly node: runtime.Runtime;
+  readonly client: rpcClient.RpcClient;
+  readonly peers: peerService.PeerService;
+  readonly claims: claimService.ClaimService;
+  readonly ledger: ledgerService.LedgerService;
+  readonly sessions: namedSessions.NamedSessions;
+}
+
+const PROBE_TIMEOUT_MS = 400;
+
+const serveProbe = (
+  context: PeerContext,
+  params: messages.PeerParams<'probe'>,
+): messages.PeerResult<'probe'> => {
+  const { node } = context;
+  const isNew = !node.getState().members.members.has(params.greeting.self.id);
+  node.dispatch({ type: 'greetingReceived', greeting: params.greeting });
+  const state = node.getState();
+  // A router that is new here is told of everybody, others only of what is news.
+  const updates = isNew
+    ? core.memberTable.listAlive(state.members)
+    : core.memberTable.takeRumours(state.members).updates;
+  return { greeting: core.membership.makeGreeting(state, updates, Date.now()) };
+};
+
+const probeFor = async (
+  context: PeerContext,
+  params: messages.PeerParams<'probeFor'>,
+): Promise<messages.PeerResult<'probeFor'>> => {
+  const greeting = core.membership.makeGreeting(context.node.getState(), [], Date.now());
+  const reply = await context.client.call(params.address, 'probe', { greeting }, PROBE_TIMEOUT_MS);
+  return { isAlive: reply !== null };
+};
+
+const serveConfig = (
+  context: PeerContext,
+  params: messages.PeerParams<'getConfig'>,
+): messages.PeerResult<'getConfig'> => {
+  const { config } = context.node.getState();
+  const isNewer = config !== null && config.generation > params.above;
+  return { packed: isNewer ? configPacking.encodeConfig(config.source) : null };
+};
+
+const serveAlert = (context: PeerContext, params: messages.PeerParams<'alert'>): null => {
+  params.alarms.forEach((versionId) => context.node.dispatch({ type: 'alarmReceived', versionId }));
+  params.evidence.forEach((item) =>
+    context.node.dispatch({ type: 'crashEvidenceReceived', ...item }),
+  );
+  return null;
+};
+
+/** Makes the answers to all calls of peers. */
+export const makePeerHandlers = (context: PeerContext): messages.PeerHandlers => ({
+  probe: (params) => serveProbe(context, params),
+  probeFor: (params) => probeFor(context, params),
+  getConfig: (params) => serveConfig(context, params),
+  announceConfig: (params) => {
+    if (params.generation > (context.node.getState().config?.generation ?? 0)) {
+      context.peers.fetchConfig(params.address);
+    }
+    return null;
+  },
+  alert: (params) => serveAlert(context, params),
+  pushRatings: (params) => {
+    context.node.dispatch({ type: 'peerCountersReceived', ...params });
+    return null;
+  },
+  pushLoads: (params) => {
+    params.reports.forEach((item) => context.node.dispatch({ type: 'loadReported', ...item }));
+    return null;
+  },
+  claim: (params) => context.claims.serveOperation(params),
+  holdEntries: (params) => {
+    context.node.dispatch({ type: 'entriesHeld', ...params });
+    return null;
+  },
+  releaseEntries: (params) => {
+    context.node.dispatch({ type: 'entriesReleased', ...params });
+    return null;
+  },
+  submitEntries: async (params) => ({
+    isWritten: await context.ledger.serveSubmission(params.entries),
+  }),
+  getSession: (params) => ({ versions: context.sessions.getKept(params.session) }),
+  putSession: (params) => {
+    context.sessions.keep(params.session, params.versions);
+    return null;
+  },
+});
--- a/packages/router/src/peers/peerService.ts
+++ b/packages/router/src/peers/peerService.ts
@@ -1,11 +1,167 @@
+import * as core from '@jayrock/core';
+import type * as runtime from '../runtime.js';
+import * as configPacking from './configPacking.js';
+import type * as messages from './messages.js';
+import type * as rpcClient from './rpcClient.js';
+
+/** Time between two probes, in milliseconds. */
+const PROBE_INTERVAL_MS = 1_000;
+/** Time between two pushes of ratings within a zone, in milliseconds. */
+const RATINGS_INTERVAL_MS = 2_000;
+/** Pushes within a zone for each push between zones. */
+const ZONE_PUSH_EVERY = 2;
+/** Time in which alarms and evidence are gathered into one message, in milliseconds. */
+const ALERT_LINGER_MS = 20;
+/** Members told directly that a router leaves; they pass it on. */
+const LEAVE_FANOUT = 16;
+/** Time for a probe to be answered, in milliseconds. */
+const PROBE_TIMEOUT_MS = 400;
+
 /** Talks to the other routers. */
 export interface PeerService {
   readonly broadcastAlarm: (versionId: string) => void;
   readonly broadcastCrashEvidence: (fingerprint: string, crashes: readonly string[]) => void;
+  readonly sendProbe: (effect: core.effects.EffectOf<'sendProbe'>) => void;
+  readonly sendIndirectProbe: (effect: core.effects.EffectOf<'sendIndirectProbe'>) => void;
+  readonly fetchConfig: (address: string) => void;
+  /** Tells the zone's routers of a generation that the platform has just shown. */
+  readonly announceConfig: (generation: number) => void;
+  /** Tells all members that this router leaves. */
+  readonly leave: () => Promise<void>;
+  readonly stop: () => void;
 }
 
-/** Makes the peer service of a router that runs alone. */
-export const makeLonePeers = (): PeerService => ({
-  broadcastAlarm: () => undefined,
-  broadcastCrashEvidence: () => undefined,
-});
+type Alerts = messages.PeerParams<'alert'>;
+
+const EMPTY_ALERTS: Alerts = { alarms: [], evidence: [] };
+
+const runSafely = (promise: Promise<unknown>): void => {
+  promise.catch(() => undefined);
+};
+
+/** Makes the peer service and starts its probes. */
+export const startPeerService = (
+  node: runtime.Runtime,
+  client: rpcClient.RpcClient,
+): PeerService => {
+  let alerts = EMPTY_ALERTS;
+  let alertTimer: NodeJS.Timeout | null = null;
+  let pushCount = 0;
+  const getTable = (): core.memberTable.MemberTable => node.getState().members;
+
+  const sendAlerts = (): void => {
+    const message = alerts;
+    alerts = EMPTY_ALERTS;
+    alertTimer = null;
+    core.memberTable
+      .listAlive(getTable())
+      .forEach((peer) => runSafely(client.call(peer.address, 'alert', message)));
+  };
+  const queueAlert = (change: (known: Alerts) => Alerts): void => {
+    alerts = change(alerts);
+    alertTimer ??= setTimeout(sendAlerts, ALERT_LINGER_MS);
+  };
+  const probe = async (effect: core.effects.EffectOf<'sendProbe'>): Promise<void> => {
+    const { greeting, targetId, address } = effect;
+    const reply = await client.call(address, 'probe', { greeting }, PROBE_TIMEOUT_MS);
+    if (reply !== null) {
+      node.dispatch({ type: 'greetingReceived', greeting: reply.greeting });
+    }
+    if (targetId !== null && reply?.greeting.self.id !== targetId) {
+      node.dispatch({ type: 'probeFailed', targetId });
+    }
+  };
+  const probeIndirectly = async (
+    effect: core.effects.EffectOf<'sendIndirectProbe'>,
+  ): Promise<void> => {
+    const { helpers, address, targetId } = effect;
+    const replies = await Promise.all(
+      helpers.map((helper) => client.call(helper, 'probeFor', { address }, PROBE_TIMEOUT_MS * 2)),
+    );
+    if (!replies.some((reply) => reply?.isAlive === true)) {
+      node.dispatch({ type: 'indirectProbeFailed', targetId });
+    }
+  };
+  const fetchConfig = async (address: string): Promise<void> => {
+    const above = node.getState().config?.generation ?? 0;
+    const reply = await client.call(address, 'getConfig', { above });
+    const packed = reply?.packed ?? null;
+    const configuration = packed === null ? null : configPacking.decodeConfig(packed);
+    if (configuration !== null) {
+      node.dispatch({ type: 'configAdopted', configuration });
+    }
+  };
+  const pushZoneRatings = (): void => {
+    const { members, ratings } = node.getState();
+    const counters = core.ratings.listZoneCounters(ratings);
+    if (counters.length === 0) {
+      return;
+    }
+    const { zone } = members.self;
+    const zones = new Set(core.memberTable.listAlive(members).map((one) => one.zone));
+    zones.delete(zone);
+    Array.from(zones)
+      .flatMap((other) => core.duties.listHolders(members, 'ratingAggregator', other, 1))
+      .forEach((peer) =>
+        runSafely(client.call(peer.address, 'pushRatings', { source: `zone:${zone}`, counters })),
+      );
+  };
+  const pushRatings = (): void => {
+    const { members, ratings } = node.getState();
+    const counters = core.ratings.listOwnCounters(ratings);
+    const { zone, id } = members.self;
+    const [aggregator] = core.duties.listHolders(members, 'ratingAggregator', zone, 1);
+    if (aggregator !== undefined && aggregator.id !== id && counters.length > 0) {
+      runSafely(
+        client.call(aggregator.address, 'pushRatings', { source: `router:${id}`, counters }),
+      );
+    }
+    pushCount += 1;
+    if (aggregator?.id === id && pushCount % ZONE_PUSH_EVERY === 0) {
+      pushZoneRatings();
+    }
+  };
+  const probes = setInterval(() => node.dispatch({ type: 'probeDue' }), PROBE_INTERVAL_MS);
+  const pushes = setInterval(pushRatings, RATINGS_INTERVAL_MS);
+  return {
+    broadcastAlarm: (versionId) =>
+      queueAlert((known) => ({ ...known, alarms: [...known.alarms, versionId] })),
+    broadcastCrashEvidence: (fingerprint, crashes) =>
+      queueAlert((known) => ({
+        ...known,
+        evidence: [...known.evidence, { fingerprint, crashes }],
+      })),
+    sendProbe: (effect) => runSafely(probe(effect)),
+    sendIndirectProbe: (effect) => runSafely(probeIndirectly(effect)),
+    fetchConfig: (address) => runSafely(fetchConfig(address)),
+    announceConfig: (generation) => {
+      const { self } = getTable();
+      core.memberTable
+        .listZone(getTable(), self.zone)
+        .filter((peer) => peer.id !== self.id)
+        .forEach((peer) =>
+          runSafely(
+            client.call(peer.address, 'announceConfig', { generation, address: self.address }),
+          ),
+        );
+    },
+    leave: async () => {
+      const { members } = node.getState();
+      const self = { ...members.self, status: 'left' as const };
+      const greeting = {
+        ...core.membership.makeGreeting(node.getState(), [], Date.now()),
+        self,
+      };
+      await Promise.all(
+        core.memberTable
+          .listAlive(members)
+          .slice(0, LEAVE_FANOUT)
+          .map((peer) => client.call(peer.address, 'probe', { greeting })),
+      );
+    },
+    stop: () => {
+      clearInterval(probes);
+      clearInterval(pushes);
+    },
+  };
+};
--- /dev/null
+++ b/packages/router/src/peers/rpcClient.ts
@@ -0,0 +1,86 @@
+import * as jsonRpc from 'json-rpc-2.0';
+import * as undici from 'undici';
+import type * as messages from './messages.js';
+import * as signature from './signature.js';
+
+/** Time for a call to be answered, in milliseconds. */
+export const CALL_TIMEOUT_MS = 500;
+/** Time to open a connection, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 500;
+/** Connections to one peer. */
+const MAX_CONNECTIONS = 4;
+/** Time an idle connection is kept, in milliseconds. */
+const KEEP_ALIVE_MS = 4_000;
+
+/** Calls to other routers. */
+export interface RpcClient {
+  /** Calls a peer; null when it did not answer in time. */
+  readonly call: <M extends messages.PeerMethod>(
+    address: string,
+    method: M,
+    params: messages.PeerParams<M>,
+    timeoutMs?: number,
+  ) => Promise<messages.PeerResult<M> | null>;
+  /** Bytes sent and received since the start. */
+  readonly countBytes: () => number;
+  readonly close: () => Promise<void>;
+}
+
+/** A wrapper that tells an answered call with a null result from one without an answer. */
+interface Reply<T> {
+  readonly value: T;
+}
+
+/** Makes a client that signs its calls with the routers' shared secret. */
+export const makeRpcClient = (secret: string): RpcClient => {
+  const agent = new undici.Agent({
+    connections: MAX_CONNECTIONS,
+    pipelining: 1,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+  });
+  let bytes = 0;
+  const send = async (address: string, body: string, timeoutMs: number): Promise<string> => {
+    const response = await undici.request(`http://${address}/rpc`, {
+      method: 'POST',
+      dispatcher: agent,
+      headers: {
+        'content-type': 'application/json',
+        [signature.SIGNATURE_HEADER]: signature.signMessage(body, secret, Date.now()),
+      },
+      body,
+      signal: AbortSignal.timeout(timeoutMs),
+    });
+    const text = await response.body.text();
+    bytes += body.length + text.length;
+    return text;
+  };
+  const request = async (
+    address: string,
+    method: string,
+    params: object,
+    timeoutMs: number,
+  ): Promise<Reply<unknown> | null> => {
+    const client: jsonRpc.JSONRPCClient = new jsonRpc.JSONRPCClient(async (payload) => {
+      client.receive(JSON.parse(await send(address, JSON.stringify(payload), timeoutMs)));
+    });
+    try {
+      return { value: await client.request(method, params) };
+    } catch {
+      return null;
+    }
+  };
+  return {
+    call: async <M extends messages.PeerMethod>(
+      address: string,
+      method: M,
+      params: messages.PeerParams<M>,
+      timeoutMs = CALL_TIMEOUT_MS,
+    ) => {
+      const reply = await request(address, method, params, timeoutMs);
+      return reply === null ? null : (reply.value as messages.PeerResult<M>);
+    },
+    countBytes: () => bytes,
+    close: () => agent.destroy(),
+  };
+};
--- /dev/null
+++ b/packages/router/src/peers/signature.ts
@@ -0,0 +1,31 @@
+import * as crypto from 'node:crypto';
+
+/** Header that carries the signature of a message between routers. */
+export const SIGNATURE_HEADER = 'x-jayrock-signature';
+/** Largest age of a signed message, in milliseconds. */
+const MAX_AGE_MS = 60_000;
+
+const computeDigest = (body: string, timeMs: number, secret: string): string =>
+  crypto.createHmac('sha256', secret).update(`${timeMs}.${body}`).digest('base64url');
+
+/** Signs a message with the routers' shared secret. */
+export const signMessage = (body: string, secret: string, nowMs: number): string =>
+  `${nowMs}.${computeDigest(body, nowMs, secret)}`;
+
+/** Verifies the signature of a message and that it is recent. */
+export const verifyMessage = (
+  body: string,
+  signature: string,
+  secret: string,
+  nowMs: number,
+): boolean => {
+  const separator = signature.indexOf('.');
+  const timeMs = Number(signature.slice(0, separator));
+  const given = Buffer.from(signature.slice(separator + 1));
+  const expected = Buffer.from(computeDigest(body, timeMs, secret));
+  return (
+    Math.abs(nowMs - timeMs) <= MAX_AGE_MS &&
+    given.length === expected.length &&
+    crypto.timingSafeEqual(given, expected)
+  );
+};
--- a/packages/router/src/pendingRequest.ts
+++ b/packages/router/src/pendingRequest.ts
@@ -14,6 +14,8 @@
   readonly body: unknown;
   readonly prompt: string;
   readonly pin: core.requestState.SessionPin | null;
+  /** Name of the session, with its customer, if the caller names one. */
+  readonly session: string | null;
   readonly arrivedAtMs: number;
   readonly attempts: Map<number, CancelAttempt>;
   relayedAttempt: number | null;
@@ -23,7 +25,6 @@
   tokensRelayed: number;
   firstTokenAtMs: number | null;
   lastTokenAtMs: number;
-  /** Largest gap between two tokens, in milliseconds. */
   hasBegun: boolean;
 }
 
@@ -31,7 +32,15 @@
 export const makePending = (
   fields: Pick<
     PendingRequest,
-    'requestId' | 'customer' | 'shape' | 'sink' | 'body' | 'prompt' | 'pin' | 'arrivedAtMs'
+    | 'requestId'
+    | 'customer'
+    | 'shape'
+    | 'sink'
+    | 'body'
+    | 'prompt'
+    | 'pin'
+    | 'session'
+    | 'arrivedAtMs'
   >,
 ): PendingRequest => ({
   ...fields,
--- /dev/null
+++ b/packages/router/src/rolloutProposals.ts
@@ -0,0 +1,48 @@
+import type * as core from '@jayrock/core';
+import * as platform from '@jayrock/platform';
+import * as shared from '@jayrock/shared';
+import type * as pino from 'pino';
+
+type Proposal = core.effects.EffectOf<'proposeRollout'>;
+
+/** Pause before a change that the store did not take is tried again, in milliseconds. */
+const RETRY_MS = 1_000;
+/** Times a change is tried. */
+const MAX_TRIES = 60;
+
+const makeEdit =
+  (proposal: Proposal): platform.configEdits.ListEdit =>
+  (lists) => {
+    if (lists === null) {
+      return shared.outcome.makeFailed('there is no configuration yet');
+    }
+    const target = {
+      model: proposal.model,
+      version: proposal.to,
+      ...(proposal.change === 'advance' ? { fromStep: proposal.fromStep } : {}),
+    };
+    const models = platform.rolloutEdits.editRollout(lists.models, proposal.change, target);
+    return models.ok ? shared.outcome.makeOk({ plans: lists.plans, models: models.value }) : models;
+  };
+
+/** Writes the changes of roll-outs that the reducer proposes; another router may be first. */
+export const makeProposer = (
+  store: platform.keyValueStore.KeyValueStore,
+  log: pino.Logger,
+): ((proposal: Proposal) => void) => {
+  const propose = async (proposal: Proposal, tries: number): Promise<void> => {
+    const result = await platform.configEdits.editWithRetry(store, makeEdit(proposal));
+    if (result.ok) {
+      log.info({ ...proposal, generation: result.value.generation }, 'roll-out changed');
+    } else if (result.error.kind === 'store' && tries > 1) {
+      setTimeout(() => {
+        propose(proposal, tries - 1).catch(() => undefined);
+      }, RETRY_MS).unref();
+    }
+  };
+  return (proposal) => {
+    propose(proposal, MAX_TRIES).catch((error: unknown) =>
+      log.error({ error }, 'roll-out change failed'),
+    );
+  };
+};
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -1,4 +1,5 @@
 import * as core from '@jayrock/core';
+import * as platform from '@jayrock/platform';
 import * as shared from '@jayrock/shared';
 import type * as fastify from 'fastify';
 import * as pino from 'pino';
@@ -9,17 +10,29 @@
 import * as hostFeed from './feeds/hostFeed.js';
 import * as loadFeed from './feeds/loadFeed.js';
 import * as ledgerService from './ledger/ledgerService.js';
+import * as namedSessions from './namedSessions.js';
 import * as openPlatform from './openPlatform.js';
+import * as peerHandlers from './peers/peerHandlers.js';
 import * as peerService from './peers/peerService.js';
+import * as rpcClient from './peers/rpcClient.js';
+import * as rpcServer from './peers/rpcServer.js';
 import type * as pendingRequest from './pendingRequest.js';
+import * as rolloutProposals from './rolloutProposals.js';
 import * as runtime from './runtime.js';
 import * as serviceLevels from './serviceLevels.js';
+import * as statusServer from './statusServer.js';
 import * as agents from './upstreams/agents.js';
 
 /** Time between two ticks of the reducer, in milliseconds. */
 const TICK_MS = 100;
 /** Time between two looks at whether a stopping router has finished, in milliseconds. */
 const STOP_POLL_MS = 50;
+/** Time a stopping router goes on accepting while the balancer takes it out, in milliseconds. */
+const LEAVE_BALANCER_MS = 3_000;
+/** Time a stopping router tries to get its billing entries written, in milliseconds. */
+const FLUSH_MS = 10_000;
+/** Calls a second that one router may make to the key-value service. */
+const STORE_BUDGET: platform.budgetedStore.CallBudget = { callsPerSecond: 100, burst: 200 };
 
 /** A router in service. */
 export interface RunningRouter {
@@ -42,77 +55,156 @@
 const listen = (server: fastify.FastifyInstance, address: string): Promise<string> =>
   server.listen(parseAddress(address));
 
-const waitUntil = (isDone: () => boolean): Promise<void> =>
+const wait = (delayMs: number): Promise<void> =>
   new Promise((resolve) => {
-    const timer = setInterval(() => {
-      if (isDone()) {
-        clearInterval(timer);
-        resolve();
-      }
-    }, STOP_POLL_MS);
+    setTimeout(resolve, delayMs);
   });
 
+const waitUntil = async (isDone: () => boolean): Promise<void> => {
+  while (!isDone()) {
+    // eslint-disable-next-line no-await-in-loop -- each look follows a pause
+    await wait(STOP_POLL_MS);
+  }
+};
+
+/** Services of one router that talk to peers and the platform. */
+interface Services {
+  readonly client: rpcClient.RpcClient;
+  readonly store: platform.budgetedStore.BudgetedStore;
+  readonly claims: claimService.ClaimService;
+  readonly ledger: ledgerService.LedgerService;
+  readonly sessions: namedSessions.NamedSessions;
+  readonly peers: peerService.PeerService;
+}
+
+const startServices = (
+  node: runtime.Runtime,
+  settings: shared.settings.Settings,
+  opened: openPlatform.Platform,
+): Services => {
+  const client = rpcClient.makeRpcClient(settings.peerSecret);
+  const store = platform.budgetedStore.makeBudgetedStore(opened.store, STORE_BUDGET);
+  return {
+    client,
+    store,
+    claims: claimService.makeClaimService(node, store, client),
+    ledger: ledgerService.startLedgerService(node, store, client),
+    sessions: namedSessions.makeNamedSessions(node, client),
+    peers: peerService.startPeerService(node, client),
+  };
+};
+
+interface Feeds {
+  readonly stop: () => void;
+}
+
+/** Starts all feeds; resolves once configuration, hosts and loads were looked at. */
+const startFeeds = async (
+  node: runtime.Runtime,
+  settings: shared.settings.Settings,
+  opened: openPlatform.Platform,
+  services: Services,
+): Promise<Feeds> => {
+  node.dispatch({ type: 'contactsChanged', addresses: settings.seedPeers });
+  const config = configFeed.startConfigFeed(node, services.store, services.peers.announceConfig);
+  node.dispatch({ type: 'probeDue' });
+  await config.refresh();
+  const hosts = hostFeed.startHostFeed(node, opened.hostList, (entryHosts) =>
+    node.dispatch({
+      type: 'contactsChanged',
+      addresses: Array.from(
+        new Set([...settings.seedPeers, ...entryHosts.map((host) => host.address)]),
+      ),
+    }),
+  );
+  await hosts.first;
+  const loads = loadFeed.startLoadFeed(node, services.client);
+  await loads.first;
+  const ticks = setInterval(() => node.dispatch({ type: 'ticked' }), TICK_MS);
+  const deletions = setInterval(() => {
+    services.claims.deleteOld(Date.now()).catch(() => undefined);
+  }, core.claimBook.BUCKET_MS);
+  return {
+    stop: () => {
+      [config, hosts, loads].forEach((feed) => feed.stop());
+      clearInterval(ticks);
+      clearInterval(deletions);
+    },
+  };
+};
+
 /** Starts a router. Fails with the problems of its files when they are not valid. */
 export const startRouter = async (
   settings: shared.settings.Settings,
   baseDir: string,
 ): Promise<shared.outcome.Outcome<RunningRouter, readonly shared.jsonc.FileProblem[]>> => {
-  const opened = await openPlatform.openPlatform(settings.platform, baseDir);
-  if (!opened.ok) {
-    return opened;
+  const result = await openPlatform.openPlatform(settings.platform, baseDir);
+  if (!result.ok) {
+    return result;
   }
-  const services = opened.value;
+  const opened = result.value;
   const routerId = shared.requestId.makeRequestId();
   const log = pino.pino({ level: settings.logLevel, base: { routerId, zone: settings.zone } });
-  const node = runtime.makeRuntime(core.routerState.makeState({ routerId, zone: settings.zone }));
+  const node = runtime.makeRuntime(
+    core.routerState.makeState({
+      routerId,
+      zone: settings.zone,
+      address: settings.peers,
+      ledgerCapacity: settings.limits.maxLedgerEntries,
+    }),
+  );
   const pending = new Map<string, pendingRequest.PendingRequest>();
   const pools = agents.makeAgents();
   const levels = serviceLevels.makeServiceLevels();
-  const ledger = ledgerService.makeLedgerService(services.store, settings.zone, routerId);
+  const services = startServices(node, settings, opened);
   node.connect(
     effectRunners.makeEffectRunners({
       node,
       settings,
       pending,
       pools,
-      rating: services.rating,
-      claims: claimService.makeSingleKeyClaims(services.store),
-      ledger,
-      peers: peerService.makeLonePeers(),
+      rating: opened.rating,
       levels,
       log,
-      proposeRollout: () => undefined,
+      ...services,
+      proposeRollout: rolloutProposals.makeProposer(services.store, log),
     }),
   );
-  const feed = configFeed.startConfigFeed(node, services.store);
-  await feed.refresh();
-  const hosts = hostFeed.startHostFeed(node, services.hostList, () => undefined);
-  await hosts.first;
-  const loads = loadFeed.startLoadFeed(node, () => true);
-  await loads.first;
-  const ticks = setInterval(() => node.dispatch({ type: 'ticked' }), TICK_MS);
+  const peerListener = rpcServer.makeRpcServer(
+    settings.peerSecret,
+    peerHandlers.makePeerHandlers({ node, ...services }),
+  );
+  await listen(peerListener, settings.peers);
+  const feeds = await startFeeds(node, settings, opened, services);
+  const status = statusServer.makeStatusServer({ node, levels, ...services });
+  await listen(status, settings.status);
+  let isLeaving = false;
   const callers = callerServer.makeCallerServer({
     node,
     settings,
     pending,
-    findSession: async () => null,
+    findSession: services.sessions.find,
+    isReady: () => !isLeaving && node.getState().config !== null,
   });
   await listen(callers, settings.callers);
   log.info({ callers: settings.callers }, 'router started');
 
   const stop = async (): Promise<void> => {
+    log.info('router stopping');
+    await services.peers.leave();
+    isLeaving = true;
+    await wait(LEAVE_BALANCER_MS);
     node.dispatch({ type: 'stopRequested' });
     await waitUntil(() => pending.size === 0);
     await callers.close();
-    hosts.stop();
-    loads.stop();
-    feed.stop();
-    clearInterval(ticks);
-    await ledger.flush();
-    ledger.stop();
-    await pools.close();
-    await services.close();
-    log.info('router stopped');
+    await services.sessions.handOver();
+    const isFlushed = await services.ledger.flush(FLUSH_MS);
+    log.info({ isFlushed }, 'router stopped');
+    feeds.stop();
+    services.peers.stop();
+    services.ledger.stop();
+    await Promise.all([peerListener.close(), status.close()]);
+    await Promise.all([pools.close(), services.client.close(), opened.close()]);
   };
-  return shared.outcome.makeOk({ routerId, node, platform: services, levels, stop });
+  return shared.outcome.makeOk({ routerId, node, platform: opened, levels, stop });
 };
