--- a/eslint.config.js
+++ b/eslint.config.js
@@ -47,7 +47,10 @@
       // The record of a request in flight is the one mutable value of the shell.
       'no-param-reassign': [
         'error',
-        { props: true, ignorePropertyModificationsFor: ['pending', 'item', 'next', 'series'] },
+        {
+          props: true,
+          ignorePropertyModificationsFor: ['pending', 'item', 'next', 'series', 'host', 'standIn'],
+        },
       ],
       'no-restricted-syntax': [
         'error',
--- /dev/null
+++ b/packages-private/measure/src/faults/judge.ts
@@ -0,0 +1,85 @@
+import * as shared from '@jayrock/shared';
+import type * as fleets from './fleet.js';
+import * as load from './load.js';
+
+/** One row of the table of faults. */
+export interface Verdict {
+  readonly fault: string;
+  readonly requests: number;
+  readonly served: number;
+  readonly refused: number;
+  /** Acknowledged answers without an entry in the ledger. */
+  readonly lost: number;
+  /** Calls that must not be repeated and ran more than once. */
+  readonly duplicated: number;
+  /** Requests with two entries that differ, so that folding could bill the wrong one. */
+  readonly doubleBilled: number;
+  readonly falseNotRun: number;
+  /** Whole answers that are not the request's own. */
+  readonly wrongAnswers: number;
+  /** Longest time without a served request that needs no claim, in milliseconds. */
+  readonly longestGapMs: number;
+  readonly refusalCodes: Readonly<Record<string, number>>;
+}
+
+/** Reads all entries that the ledger holds. */
+export const readEntries = (fleet: fleets.Fleet): readonly shared.ledgerEntry.LedgerEntry[] =>
+  fleet.store.table
+    .list('ledger/')
+    .flatMap((row) => JSON.parse(row.value) as shared.ledgerEntry.LedgerEntry[]);
+
+const computeLongestGap = (results: readonly load.Tracked[]): number => {
+  const times = results
+    .filter((tracked) => tracked.final.isWhole && tracked.kind !== 'issue')
+    .map((tracked) => tracked.endedAtMs)
+    .toSorted((a, b) => a - b);
+  return times.reduce(
+    (longest, time, index) => Math.max(longest, time - (times[index - 1] ?? time)),
+    0,
+  );
+};
+
+const countCodes = (results: readonly load.Tracked[]): Readonly<Record<string, number>> =>
+  results
+    .filter((tracked) => !tracked.final.isWhole)
+    .reduce<Readonly<Record<string, number>>>((counts, tracked) => {
+      const code = `${tracked.kind}:${tracked.final.code ?? tracked.final.status}`;
+      return { ...counts, [code]: (counts[code] ?? 0) + 1 };
+    }, {});
+
+const countConflicts = (entries: readonly shared.ledgerEntry.LedgerEntry[]): number => {
+  const costs = new Map<string, Set<string>>();
+  entries.forEach((entry) => {
+    const known = costs.get(entry.requestId) ?? new Set<string>();
+    known.add(`${entry.model}|${entry.costMicros}`);
+    costs.set(entry.requestId, known);
+  });
+  return Array.from(costs.values()).filter((known) => known.size > 1).length;
+};
+
+/** Judges what callers saw against what ran and what was billed. */
+export const judgeRun = (
+  fault: string,
+  fleet: fleets.Fleet,
+  results: readonly load.Tracked[],
+): Verdict => {
+  const entries = readEntries(fleet);
+  const folded = shared.ledgerEntry.foldLedger(entries);
+  const served = results.filter((tracked) => tracked.final.isWhole);
+  const ids = new Set(results.map((tracked) => tracked.requestId));
+  return {
+    fault,
+    requests: results.length,
+    served: served.length,
+    refused: results.length - served.length,
+    lost: served.filter((tracked) => !folded.has(tracked.requestId)).length,
+    duplicated: results.filter(
+      (tracked) => tracked.kind === 'issue' && (fleet.runs.get(tracked.requestId) ?? 0) > 1,
+    ).length,
+    doubleBilled: countConflicts(entries.filter((entry) => ids.has(entry.requestId))),
+    falseNotRun: results.reduce((sum, tracked) => sum + tracked.falseNotRun, 0),
+    wrongAnswers: served.filter((tracked) => !load.isOwnAnswer(tracked)).length,
+    longestGapMs: computeLongestGap(results),
+    refusalCodes: countCodes(results),
+  };
+};
--- /dev/null
+++ b/packages-private/measure/src/faults/load.ts
@@ -0,0 +1,186 @@
+import * as shared from '@jayrock/shared';
+import * as standIns from '@jayrock/stand-ins';
+import * as client from '../client.js';
+import * as site from '../site.js';
+import type * as fleets from './fleet.js';
+
+/** What was asked and what came of it, over all tries of one request. */
+export interface Tracked {
+  readonly kind: 'chat' | 'long' | 'find' | 'issue';
+  readonly requestId: string;
+  readonly prompt: string;
+  readonly final: client.Result;
+  /** Refusals that said "not run" though the request had run. */
+  readonly falseNotRun: number;
+  readonly tries: number;
+  readonly endedAtMs: number;
+  readonly startedAtMs: number;
+}
+
+/** A load that runs until it is stopped. */
+export interface Load {
+  readonly results: Tracked[];
+  readonly stop: () => Promise<readonly Tracked[]>;
+}
+
+/** Options of a load. */
+export interface LoadOptions {
+  readonly intervalMs: number;
+  readonly seed: string;
+}
+
+const MAX_TRIES = 6;
+const HEALTH_INTERVAL_MS = 500;
+const RETRY_PAUSE_MS = 150;
+const MAX_TOKENS = 400;
+
+type Kind = Tracked['kind'];
+
+const KIND_BOUNDS: readonly (readonly [number, Kind])[] = [
+  [0.5, 'chat'],
+  [0.6, 'long'],
+  [0.8, 'find'],
+  [1, 'issue'],
+];
+
+const pickKind = (fraction: number): Kind =>
+  KIND_BOUNDS.find(([bound]) => fraction < bound)?.[1] ?? 'chat';
+
+const PATHS: Readonly<Record<Kind, string>> = {
+  chat: '/v1/chat/completions',
+  long: '/v1/chat/completions',
+  find: '/services/numbering-core/gaps',
+  issue: '/services/numbering-core/blocks',
+};
+
+const makeBody = (kind: Kind, prompt: string): object =>
+  kind === 'chat' || kind === 'long'
+    ? {
+        model: 'clerk-small',
+        stream: true,
+        max_tokens: MAX_TOKENS,
+        messages: [{ role: 'user', content: prompt }],
+      }
+    : { item: prompt };
+
+const countRuns = (fleet: fleets.Fleet, requestId: string): number =>
+  (fleet.runs.get(requestId) ?? 0) +
+  fleet.engines.filter((engine) => engine.startedRequests.has(requestId)).length;
+
+/** A refusal or broken answer that a caller would send again. */
+const shouldRetry = (result: client.Result): boolean =>
+  !result.isWhole && result.code !== 'mayHaveRun' && result.code !== 'quarantined';
+
+interface Judged {
+  readonly result: client.Result;
+  /** True when the call was refused as "not run" and yet started something. */
+  readonly isFalseNotRun: boolean;
+}
+
+/** Sends a request, and again with the same key, as a caller would, until it is whole or hopeless. */
+const sendTracked = async (
+  fleet: fleets.Fleet,
+  pickHost: () => string,
+  kind: Kind,
+  customer: string,
+  prompt: string,
+): Promise<Tracked> => {
+  const idempotencyKey = shared.requestId.makeRequestId();
+  const startedAtMs = Date.now();
+  const requestId = `${customer}/${idempotencyKey}`;
+  const send = async (): Promise<Judged> => {
+    const before = countRuns(fleet, requestId);
+    const result = await client.sendCall({
+      address: pickHost(),
+      customer,
+      path: PATHS[kind],
+      body: makeBody(kind, prompt),
+      idempotencyKey,
+      timeoutMs: 20_000,
+    });
+    const hasRun = countRuns(fleet, requestId) > before;
+    return { result, isFalseNotRun: result.notRun === true && hasRun };
+  };
+  const sendUntilWhole = async (tries: number, falseNotRun: number): Promise<Tracked> => {
+    const judged = await send();
+    const falseSoFar = falseNotRun + Number(judged.isFalseNotRun);
+    if (!shouldRetry(judged.result) || tries >= MAX_TRIES) {
+      const endedAtMs = Date.now();
+      const final = judged.result;
+      return {
+        kind,
+        requestId,
+        prompt,
+        final,
+        falseNotRun: falseSoFar,
+        tries,
+        startedAtMs,
+        endedAtMs,
+      };
+    }
+    await standIns.control.wait(RETRY_PAUSE_MS * tries);
+    return sendUntilWhole(tries + 1, falseSoFar);
+  };
+  return sendUntilWhole(1, 0);
+};
+
+/** Starts a mixed load through the routers that are healthy, as the platform's balancer would. */
+export const startLoad = (fleet: fleets.Fleet, options: LoadOptions): Load => {
+  const customers = site.loadPlans('ledgerline').customers.map((customer) => customer.name);
+  const results: Tracked[] = [];
+  const open = new Set<Promise<unknown>>();
+  let healthy = fleet.hosts.map((host) => host.callers);
+  let count = 0;
+  const updateHealth = async (): Promise<void> => {
+    const checks = await Promise.all(
+      fleet.hosts.map(async (host) => {
+        try {
+          const response = await fetch(`http://${host.callers}/healthz`, {
+            signal: AbortSignal.timeout(HEALTH_INTERVAL_MS),
+          });
+          return response.status === 200;
+        } catch {
+          return false;
+        }
+      }),
+    );
+    const found = fleet.hosts.filter((_, index) => checks[index]).map((host) => host.callers);
+    healthy = found.length > 0 ? found : healthy;
+  };
+  const pickHost = (): string => {
+    count += 1;
+    return healthy[count % healthy.length] ?? '';
+  };
+  const sendNext = (): void => {
+    const index = results.length + open.size;
+    const fraction = shared.hash.hashToFraction(`${options.seed}|${index}`);
+    const kind = pickKind(fraction);
+    const customer = customers[index % customers.length] ?? '';
+    const prompt = kind === 'long' ? `history ${index} len=300` : `gap ${index}`;
+    const sent = sendTracked(fleet, pickHost, kind, customer, prompt).then((tracked) => {
+      results.push(tracked);
+      open.delete(sent);
+    });
+    open.add(sent);
+  };
+  const sends = setInterval(sendNext, options.intervalMs);
+  const checks = setInterval(() => {
+    updateHealth().catch(() => undefined);
+  }, HEALTH_INTERVAL_MS);
+  return {
+    results,
+    stop: async () => {
+      clearInterval(sends);
+      await Promise.all(open);
+      clearInterval(checks);
+      return results;
+    },
+  };
+};
+
+/** Tells whether a whole chat answer is the one that belongs to its request. */
+export const isOwnAnswer = (tracked: Tracked): boolean =>
+  tracked.kind === 'find' ||
+  tracked.kind === 'issue' ||
+  tracked.final.text ===
+    standIns.engine.makeAnswer(tracked.final.versionId, tracked.prompt, MAX_TOKENS);
--- /dev/null
+++ b/packages-private/measure/src/faultsMain.ts
@@ -0,0 +1,283 @@
+import * as cac from 'cac';
+import * as platform from '@jayrock/platform';
+import * as shared from '@jayrock/shared';
+import * as standIns from '@jayrock/stand-ins';
+import * as client from './client.js';
+import * as fleets from './faults/fleet.js';
+import * as judge from './faults/judge.js';
+import * as load from './faults/load.js';
+
+const ZONES = ['mid-a', 'mid-b', 'mid-c', 'mid-d'] as const;
+const COUNT = 9;
+/** Load before and after a fault, in milliseconds. */
+const MARGIN_MS = 3_000;
+/** Time for the ledger to be written after the load, in milliseconds. */
+const SETTLE_MS = 6_000;
+const INTERVAL_MS = 15;
+
+const { wait } = standIns.control;
+
+type Fault = (fleet: fleets.Fleet, durationMs: number) => Promise<void>;
+
+const restart = async (fleet: fleets.Fleet, hosts: readonly fleets.EntryHost[]): Promise<void> => {
+  await wait(3_000);
+  await Promise.all(hosts.map((host) => fleet.startHost(host)));
+};
+
+const killHosts =
+  (count: number): Fault =>
+  async (fleet) => {
+    const hosts = fleet.hosts.slice(2, 2 + count);
+    hosts.forEach((host) => fleets.killHost(host));
+    await restart(fleet, hosts);
+  };
+
+const waitExit = async (host: fleets.EntryHost): Promise<void> => {
+  if (host.process !== null) {
+    await wait(50);
+    await waitExit(host);
+  }
+};
+
+const replaceAll: Fault = async (fleet) => {
+  await fleet.hosts.reduce(async (before, host) => {
+    await before;
+    fleets.killHost(host, 'SIGTERM');
+    await waitExit(host);
+    await fleet.startHost(host);
+  }, Promise.resolve());
+};
+
+const withFaults =
+  (
+    pick: (fleet: fleets.Fleet) => readonly standIns.control.StandIn[],
+    change: Partial<standIns.control.Faults>,
+  ): Fault =>
+  async (fleet, durationMs) => {
+    const targets = pick(fleet);
+    targets.forEach((target) => Object.assign(target.faults, change));
+    await wait(durationMs);
+    targets.forEach((target) => Object.assign(target.faults, standIns.control.makeFaults()));
+  };
+
+const cutZone: Fault = async (fleet, durationMs) => {
+  fleets.cutZone(fleet, 'mid-b');
+  await wait(durationMs);
+  fleets.cutZone(fleet, null);
+};
+
+const silenceEngines: Fault = async (fleet) => {
+  fleet.engines.slice(0, 2).forEach((engine) => engine.silence());
+  await wait(6_000);
+};
+
+const sendPoison: Fault = async (fleet) => {
+  const sends = Array.from({ length: 6 }, (_, index) => index);
+  await sends.reduce(async (before, index) => {
+    await before;
+    await client.sendCall({
+      address: fleet.hosts[index]?.callers ?? '',
+      customer: 'harbour-market',
+      path: '/v1/chat/completions',
+      body: {
+        model: 'clerk-small',
+        stream: true,
+        messages: [{ role: 'user', content: standIns.engine.POISON_MARK }],
+      },
+    });
+    await wait(1_000);
+  }, Promise.resolve());
+};
+
+const pauseHost: Fault = async (fleet, durationMs) => {
+  const host = fleet.hosts[3];
+  host?.process?.kill('SIGSTOP');
+  await wait(Math.min(durationMs, 8_000));
+  host?.process?.kill('SIGCONT');
+  await wait(2_000);
+};
+
+const raceOperators: Fault = async (fleet) => {
+  const stores = ['first', 'second'].map(() =>
+    platform.etcdStore.openEtcdStore(fleet.store.address),
+  );
+  const edits = ['north', 'south'].map(
+    (name): platform.configEdits.ListEdit =>
+      (lists) =>
+        lists === null
+          ? shared.outcome.makeFailed('no lists')
+          : shared.outcome.makeOk({
+              models: lists.models,
+              plans: {
+                ...lists.plans,
+                customers: [
+                  ...lists.plans.customers,
+                  { name, plan: 'counter', keyHash: shared.hash.hashDigest(name), weight: 1 },
+                ],
+              },
+            }),
+  );
+  const outcomes = await Promise.all(
+    stores.map((store, index) =>
+      platform.configEdits.editOnce(
+        store,
+        edits[index] ?? (() => shared.outcome.makeFailed('')),
+        1,
+      ),
+    ),
+  );
+  const won = outcomes.filter((outcome) => outcome.ok).length;
+  const conflicts = outcomes.filter(
+    (outcome) => !outcome.ok && outcome.error.kind === 'conflict',
+  ).length;
+  process.stderr.write(`two operators: ${won} applied, ${conflicts} told of a conflict\n`);
+  await Promise.all(stores.map((store) => store.close()));
+  await wait(3_000);
+};
+
+const keyValue = (fleet: fleets.Fleet): readonly standIns.control.StandIn[] => [fleet.store];
+
+const FAULTS: Readonly<Record<string, Fault>> = {
+  none: async () => wait(5_000),
+  'kill one router': killHosts(1),
+  'kill two routers': killHosts(2),
+  'replace all nine': replaceAll,
+  'key-value service down': withFaults(keyValue, { isDown: true }),
+  'key-value service slow': withFaults(keyValue, { delayMs: 800 }),
+  'key-value answers lost': withFaults(keyValue, { losesAnswers: true }),
+  'zone cut off': cutZone,
+  'connections silent': silenceEngines,
+  'poison request': sendPoison,
+  'router paused': pauseHost,
+  'two operators': raceOperators,
+};
+
+/** Runs all faults in a seeded order until the time is over. */
+const runAll =
+  (seed: string): Fault =>
+  async (fleet, durationMs) => {
+    const untilMs = Date.now() + durationMs;
+    const names = Object.keys(FAULTS).filter((name) => name !== 'two operators');
+    const runRound = async (round: number): Promise<void> => {
+      if (Date.now() >= untilMs) {
+        return;
+      }
+      const index = shared.hash.hashText(`${seed}|${round}`) % names.length;
+      const name = names[index] ?? 'none';
+      process.stderr.write(`  ${name}\n`);
+      await FAULTS[name]?.(fleet, 6_000);
+      await runRound(round + 1);
+    };
+    await runRound(0);
+  };
+
+const runFault = async (
+  name: string,
+  fault: Fault,
+  durationMs: number,
+  logDir: string | undefined,
+): Promise<judge.Verdict> => {
+  const fleet = await fleets.startFleet({
+    count: COUNT,
+    basePort: 21_000,
+    engineCount: 6,
+    plainCount: 4,
+    zones: ZONES,
+    ...(logDir === undefined ? {} : { logDir }),
+  });
+  await wait(3_000);
+  const running = load.startLoad(fleet, { intervalMs: INTERVAL_MS, seed: name });
+  await wait(MARGIN_MS);
+  await fault(fleet, durationMs);
+  await wait(MARGIN_MS);
+  const results = await running.stop();
+  await wait(SETTLE_MS);
+  const verdict = judge.judgeRun(name, fleet, results);
+  const poisonings = fleet.engines.reduce((sum, engine) => sum + engine.getPoisonings(), 0);
+  if (poisonings > 0) {
+    process.stderr.write(`${name}: ${poisonings} engines crashed by poison\n`);
+  }
+  await fleet.stop();
+  return verdict;
+};
+
+const HEADINGS = [
+  'fault',
+  'requests',
+  'served',
+  'refused',
+  'lost',
+  'duplicated',
+  'double billed',
+  'false not run',
+  'wrong answers',
+  'longest gap ms',
+] as const;
+
+const printRow = (cells: readonly (string | number)[]): void => {
+  process.stdout.write(
+    `${cells.map((cell, index) => String(cell).padEnd(index === 0 ? 26 : 15)).join('')}\n`,
+  );
+};
+
+const printVerdict = (verdict: judge.Verdict): void => {
+  printRow([
+    verdict.fault,
+    verdict.requests,
+    verdict.served,
+    verdict.refused,
+    verdict.lost,
+    verdict.duplicated,
+    verdict.doubleBilled,
+    verdict.falseNotRun,
+    verdict.wrongAnswers,
+    verdict.longestGapMs,
+  ]);
+  if (verdict.refused > 0) {
+    process.stdout.write(`    refused: ${JSON.stringify(verdict.refusalCodes)}\n`);
+  }
+};
+
+interface Options {
+  readonly only?: string;
+  readonly duration: number;
+  readonly seed: string;
+  readonly json?: boolean;
+  readonly logs?: string;
+}
+
+const run = async (options: Options): Promise<void> => {
+  const all: readonly (readonly [string, Fault])[] = [
+    ...Object.entries(FAULTS),
+    ['all in random order', runAll(options.seed)],
+  ];
+  const chosen = all.filter(([name]) => options.only === undefined || name === options.only);
+  if (options.json !== true) {
+    printRow(HEADINGS);
+  }
+  await chosen.reduce(async (before, [name, fault]) => {
+    await before;
+    const isLong = name === 'all in random order';
+    const durationMs = options.duration * 1_000 * (isLong ? 5 : 1);
+    const verdict = await runFault(name, fault, durationMs, options.logs);
+    if (options.json === true) {
+      process.stdout.write(`${JSON.stringify(verdict)}\n`);
+    } else {
+      printVerdict(verdict);
+    }
+  }, Promise.resolve());
+};
+
+const cli = cac.cac('faults');
+cli
+  .command('', 'Run the experiments with faults on nine router processes')
+  .option('--only <fault>', 'Run one fault')
+  .option('--duration <seconds>', 'Length of outages; the random order runs five times as long', {
+    default: 12,
+  })
+  .option('--seed <text>', 'Seed of the random order', { default: 'one' })
+  .option('--logs <folder>', 'Keep the routers’ logs in a folder')
+  .option('--json', 'Print one JSON object for each fault')
+  .action((options: Options) => run(options).then(() => process.exit(0)));
+cli.help();
+cli.parse();
--- a/packages-private/stand-ins/src/control.ts
+++ b/packages-private/stand-ins/src/control.ts
@@ -4,8 +4,6 @@
 export interface Faults {
   /** Factor on the time each step takes. */
   slowFactor: number;
-  /** Accepts requests on connections that were open at this moment and never answers them. */
-  isSilent: boolean;
   /** Answers with data that is not a valid answer. */
   isGarbage: boolean;
   /** Ends answers without their end mark. */
@@ -14,6 +12,8 @@
   isDown: boolean;
   /** Takes effect and then breaks the connection instead of answering. */
   losesAnswers: boolean;
+  /** Addresses of hosts that cannot reach the stand-in. */
+  cutSources: ReadonlySet<string>;
   /** Added to the time of each call, in milliseconds. */
   delayMs: number;
 }
@@ -21,11 +21,11 @@
 /** Makes the faults of a healthy stand-in. */
 export const makeFaults = (): Faults => ({
   slowFactor: 1,
-  isSilent: false,
   isGarbage: false,
   losesEndMark: false,
   isDown: false,
   losesAnswers: false,
+  cutSources: new Set(),
   delayMs: 0,
 });
 
@@ -35,6 +35,16 @@
     setTimeout(resolve, delayMs);
   });
 
+/** Breaks connections from hosts that are cut off. */
+export const addCutHook = (server: fastify.FastifyInstance, faults: Faults): void => {
+  server.addHook('onRequest', async (request, reply) => {
+    if (faults.cutSources.has(request.raw.socket.remoteAddress ?? '')) {
+      reply.hijack();
+      request.raw.socket.destroy();
+    }
+  });
+};
+
 /** A stand-in that listens on loopback. */
 export interface StandIn {
   readonly address: string;
--- a/packages-private/stand-ins/src/engine.ts
+++ b/packages-private/stand-ins/src/engine.ts
@@ -1,4 +1,5 @@
 import type * as http from 'node:http';
+import type * as net from 'node:net';
 import * as fastify from 'fastify';
 import * as shared from '@jayrock/shared';
 import * as control from './control.js';
@@ -20,6 +21,12 @@
   readonly id: string;
   /** Starts of each version, by `model@version`. */
   readonly starts: ReadonlyMap<string, number>;
+  /** Requests that a batch has taken in. */
+  readonly startedRequests: ReadonlySet<string>;
+  /** Times a poisoned request was started here. */
+  readonly getPoisonings: () => number;
+  /** Makes all connections that are open now go silent; new ones work. */
+  readonly silence: () => void;
   readonly setLoaded: (versions: readonly string[]) => void;
   /** Breaks all connections and stops listening for a time, as a crash would. */
   readonly crash: (downMs: number) => Promise<void>;
@@ -87,7 +94,11 @@
   let loaded = [...options.loaded];
   let running: Running[] = [];
   let waiting: Running[] = [];
-  let silentSockets = new WeakSet<object>();
+  const sockets = new Set<net.Socket>();
+  const silentSockets = new WeakSet<net.Socket>();
+  const startedRequests = new Set<string>();
+  const isSilent = (response: http.ServerResponse): boolean =>
+    response.socket !== null && silentSockets.has(response.socket);
   let hasCrashed = false;
 
   const admit = (): void => {
@@ -124,18 +135,24 @@
   const rounds = setInterval(() => {
     const nowMs = Date.now();
     running = running.filter(
-      (item) =>
-        !item.response.destroyed &&
-        (silentSockets.has(item.response.socket ?? item) || advance(item, nowMs)),
+      (item) => !item.response.destroyed && (isSilent(item.response) || advance(item, nowMs)),
     );
     waiting = waiting.filter((item) => !item.response.destroyed);
     admit();
   }, ROUND_MS);
 
-  const state: { crash: (downMs: number) => Promise<void> } = { crash: async () => undefined };
+  const state: { crash: (downMs: number) => Promise<void>; poisonings: number } = {
+    crash: async () => undefined,
+    poisonings: 0,
+  };
 
   const makeServer = (): fastify.FastifyInstance => {
     const server = fastify.fastify({ forceCloseConnections: true });
+    control.addCutHook(server, faults);
+    server.server.on('connection', (socket: net.Socket) => {
+      sockets.add(socket);
+      socket.once('close', () => sockets.delete(socket));
+    });
     server.get('/load', async () => ({
       running: running.length,
       waiting: waiting.length,
@@ -147,6 +164,7 @@
       const prompt = body.messages.map((message) => message.content).join('\n');
       if (prompt.includes(POISON_MARK)) {
         reply.hijack();
+        state.poisonings += 1;
         await state.crash(CRASH_MS);
         return reply;
       }
@@ -156,6 +174,11 @@
       if (faults.isDown) {
         return reply.code(500).send({ error: 'failing' });
       }
+      if (isSilent(reply.raw)) {
+        reply.hijack();
+        return reply;
+      }
+      startedRequests.add(String(request.headers['x-request-id']));
       starts.set(body.model, (starts.get(body.model) ?? 0) + 1);
       reply.hijack();
       reply.raw.writeHead(200, { 'content-type': 'text/event-stream' });
@@ -189,6 +212,9 @@
     address,
     faults,
     starts,
+    startedRequests,
+    getPoisonings: () => state.poisonings,
+    silence: () => sockets.forEach((socket) => silentSockets.add(socket)),
     setLoaded: (versions) => {
       loaded = [...versions];
     },
@@ -213,14 +239,5 @@
     },
   };
   state.crash = engine.crash;
-  Object.defineProperty(faults, 'isSilent', {
-    get: () => false,
-    set: (value: boolean) => {
-      silentSockets = new WeakSet();
-      if (value) {
-        running.forEach((item) => silentSockets.add(item.response.socket ?? item));
-      }
-    },
-  });
   return engine;
 };
--- a/packages-private/stand-ins/src/index.ts
+++ b/packages-private/stand-ins/src/index.ts
@@ -4,3 +4,4 @@
 export * as plainService from './plainService.js';
 export * as ratingServer from './ratingServer.js';
 export * as keyValueServer from './keyValueServer.js';
+export * as forwarder from './forwarder.js';
--- a/packages-private/stand-ins/src/keyValueServer.ts
+++ b/packages-private/stand-ins/src/keyValueServer.ts
@@ -66,6 +66,7 @@
   const faults = control.makeFaults();
   const counts = new Map<string, number>();
   const server = fastify.fastify({ forceCloseConnections: true, bodyLimit: 2_000_000 });
+  control.addCutHook(server, faults);
   server.addHook('preHandler', async (request, reply) => {
     counts.set(request.url, (counts.get(request.url) ?? 0) + 1);
     table.expireLeases(Date.now());
--- a/packages-private/stand-ins/src/plainService.ts
+++ b/packages-private/stand-ins/src/plainService.ts
@@ -22,6 +22,7 @@
   const faults = control.makeFaults();
   const runs = options.runs ?? new Map<string, number>();
   const server = fastify.fastify({ forceCloseConnections: true });
+  control.addCutHook(server, faults);
   server.get('/load', async () => ({ running: 0, waiting: 0, slots: 64, loaded: [] }));
   server.post('/*', async (request, reply) => {
     if (faults.isDown) {
--- a/packages-private/stand-ins/src/ratingServer.ts
+++ b/packages-private/stand-ins/src/ratingServer.ts
@@ -19,6 +19,7 @@
 ): Promise<control.StandIn> => {
   const faults = control.makeFaults();
   const server = fastify.fastify({ forceCloseConnections: true });
+  control.addCutHook(server, faults);
   server.post('/ratings', async (request, reply) => {
     const body = request.body as RatingBody;
     await control.wait(delayMs + faults.delayMs);
--- a/packages/platform/src/etcdStore.ts
+++ b/packages/platform/src/etcdStore.ts
@@ -88,10 +88,16 @@
 };
 
 /** Opens the key-value service at an address, by the JSON form of the etcd v3 protocol. */
-export const openEtcdStore = (address: string): keyValueStore.KeyValueStore => {
+export const openEtcdStore = (
+  address: string,
+  localAddress?: string,
+): keyValueStore.KeyValueStore => {
   const pool = new undici.Pool(`http://${address}`, {
     connections: 16,
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: {
+      timeout: CONNECT_TIMEOUT_MS,
+      ...(localAddress === undefined ? {} : { localAddress }),
+    },
   });
   const stopped = new AbortController();
   const call = async <T>(path: string, body: object): Promise<Outcome<T>> => {
--- a/packages/platform/src/hostList.ts
+++ b/packages/platform/src/hostList.ts
@@ -22,12 +22,16 @@
 }
 
 /** Opens the host list served over HTTP at an address. */
-export const openHostList = (address: string): HostList => {
+export const openHostList = (
+  address: string,
+  dispatcher: undici.Dispatcher = undici.getGlobalDispatcher(),
+): HostList => {
   let tag = '';
   let hosts: readonly shared.hosts.Host[] | null = null;
   const readHosts = async (): Promise<readonly shared.hosts.Host[] | null> => {
     const response = await undici.request(`http://${address}/hosts`, {
       headers: tag === '' ? {} : { 'if-none-match': tag },
+      dispatcher,
       signal: AbortSignal.timeout(TIMEOUT_MS),
     });
     if (response.statusCode === NOT_MODIFIED) {
--- a/packages/router/src/openPlatform.ts
+++ b/packages/router/src/openPlatform.ts
@@ -1,6 +1,7 @@
 import * as path from 'node:path';
 import * as platform from '@jayrock/platform';
 import * as shared from '@jayrock/shared';
+import * as undici from 'undici';
 import * as embeddedLists from './embeddedLists.js';
 
 /** The platform's services as one router uses them. */
@@ -42,13 +43,16 @@
 
 type Service = Extract<shared.settings.PlatformSettings, { kind: 'service' }>;
 
-const openService = async (settings: Service): Promise<Opened> => {
-  const store = platform.etcdStore.openEtcdStore(settings.keyValueAddress);
+const openService = async (settings: Service, localAddress: string): Promise<Opened> => {
+  const store = platform.etcdStore.openEtcdStore(settings.keyValueAddress, localAddress);
+  const outgoing = new undici.Agent({ connect: { localAddress } });
   return shared.outcome.makeOk({
     store,
-    hostList: platform.hostList.openHostList(settings.hostListAddress),
+    hostList: platform.hostList.openHostList(settings.hostListAddress, outgoing),
     rating: openRating(settings.ratingAddress),
-    close: () => store.close(),
+    close: async () => {
+      await Promise.all([store.close(), outgoing.destroy()]);
+    },
   });
 };
 
@@ -56,5 +60,8 @@
 export const openPlatform = (
   settings: shared.settings.PlatformSettings,
   baseDir: string,
+  localAddress: string,
 ): Promise<Opened> =>
-  settings.kind === 'embedded' ? openEmbedded(settings, baseDir) : openService(settings);
+  settings.kind === 'embedded'
+    ? openEmbedded(settings, baseDir)
+    : openService(settings, localAddress);
--- a/packages/router/src/peers/rpcClient.ts
+++ b/packages/router/src/peers/rpcClient.ts
@@ -32,12 +32,12 @@
 }
 
 /** Makes a client that signs its calls with the routers' shared secret. */
-export const makeRpcClient = (secret: string): RpcClient => {
+export const makeRpcClient = (secret: string, localAddress: string): RpcClient => {
   const agent = new undici.Agent({
     connections: MAX_CONNECTIONS,
     pipelining: 1,
     keepAliveTimeout: KEEP_ALIVE_MS,
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: { timeout: CONNECT_TIMEOUT_MS, localAddress },
   });
   let bytes = 0;
   const send = async (address: string, body: string, timeoutMs: number): Promise<string> => {
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -44,16 +44,8 @@
   readonly stop: () => Promise<void>;
 }
 
-const parseAddress = (address: string): { readonly host: string; readonly port: number } => {
-  const separator = address.lastIndexOf(':');
-  return {
-    host: address.slice(0, separator).replace(/^\[|\]$/g, ''),
-    port: Number(address.slice(separator + 1)),
-  };
-};
-
 const listen = (server: fastify.FastifyInstance, address: string): Promise<string> =>
-  server.listen(parseAddress(address));
+  server.listen(shared.settings.parseAddress(address));
 
 const wait = (delayMs: number): Promise<void> =>
   new Promise((resolve) => {
@@ -67,6 +59,10 @@
   }
 };
 
+/** Outgoing connections come from the host's own address. */
+const getLocalAddress = (settings: shared.settings.Settings): string =>
+  shared.settings.parseAddress(settings.peers).host;
+
 /** Services of one router that talk to peers and the platform. */
 interface Services {
   readonly client: rpcClient.RpcClient;
@@ -82,7 +78,7 @@
   settings: shared.settings.Settings,
   opened: openPlatform.Platform,
 ): Services => {
-  const client = rpcClient.makeRpcClient(settings.peerSecret);
+  const client = rpcClient.makeRpcClient(settings.peerSecret, getLocalAddress(settings));
   const store = platform.budgetedStore.makeBudgetedStore(opened.store, STORE_BUDGET);
   return {
     client,
@@ -138,7 +134,11 @@
   settings: shared.settings.Settings,
   baseDir: string,
 ): Promise<shared.outcome.Outcome<RunningRouter, readonly shared.jsonc.FileProblem[]>> => {
-  const result = await openPlatform.openPlatform(settings.platform, baseDir);
+  const result = await openPlatform.openPlatform(
+    settings.platform,
+    baseDir,
+    getLocalAddress(settings),
+  );
   if (!result.ok) {
     return result;
   }
@@ -149,12 +149,12 @@
     core.routerState.makeState({
       routerId,
       zone: settings.zone,
-      address: settings.peers,
+      address: settings.advertisedPeers ?? settings.peers,
       ledgerCapacity: settings.limits.maxLedgerEntries,
     }),
   );
   const pending = new Map<string, pendingRequest.PendingRequest>();
-  const pools = agents.makeAgents();
+  const pools = agents.makeAgents(getLocalAddress(settings));
   const levels = serviceLevels.makeServiceLevels();
   const services = startServices(node, settings, opened);
   node.connect(
--- a/packages/router/src/upstreams/agents.ts
+++ b/packages/router/src/upstreams/agents.ts
@@ -15,20 +15,20 @@
   readonly close: () => Promise<void>;
 }
 
-const openPool = (address: string): undici.Pool =>
+const openPool = (address: string, localAddress: string): undici.Pool =>
   new undici.Pool(`http://${address}`, {
     connections: MAX_CONNECTIONS,
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: { timeout: CONNECT_TIMEOUT_MS, localAddress },
     keepAliveTimeout: KEEP_ALIVE_MS,
     headersTimeout: 0,
     bodyTimeout: 0,
   });
 
 /** Makes an empty set of connection pools. */
-export const makeAgents = (): Agents => {
+export const makeAgents = (localAddress: string): Agents => {
   const pools = new Map<string, undici.Pool>();
   const get = (address: string): undici.Pool => {
-    const known = pools.get(address) ?? openPool(address);
+    const known = pools.get(address) ?? openPool(address, localAddress);
     pools.set(address, known);
     return known;
   };
--- a/packages/shared/src/settings.ts
+++ b/packages/shared/src/settings.ts
@@ -47,12 +47,23 @@
   })
   .readonly();
 
+/** Splits `IP:PORT` into its parts. */
+export const parseAddress = (text: string): { readonly host: string; readonly port: number } => {
+  const separator = text.lastIndexOf(':');
+  return {
+    host: text.slice(0, separator).replace(/^\[|\]$/g, ''),
+    port: Number(text.slice(separator + 1)),
+  };
+};
+
 /** Schema of the settings file of one router. */
 export const settingsSchema = zod
   .strictObject({
     zone: zod.string().min(1),
     callers: address,
     peers: address,
+    /** Address under which peers reach this router, when it differs from the one it listens on. */
+    advertisedPeers: address.optional(),
     status: address,
     /** Shared secret of the routers' own listener. */
     peerSecret: zod.string().min(16, { message: 'expected at least 16 characters' }),
