--- a/packages-private/measure/src/faultsMain.ts
+++ b/packages-private/measure/src/faultsMain.ts
@@ -135,16 +135,16 @@
   await wait(3_000);
 };
 
-const keyValue = (fleet: fleets.Fleet): readonly standIns.control.StandIn[] => [fleet.store];
+const listStores = (fleet: fleets.Fleet): readonly standIns.control.StandIn[] => [fleet.store];
 
 const FAULTS: Readonly<Record<string, Fault>> = {
   none: async () => wait(5_000),
   'kill one router': killHosts(1),
   'kill two routers': killHosts(2),
   'replace all nine': replaceAll,
-  'key-value service down': withFaults(keyValue, { isDown: true }),
-  'key-value service slow': withFaults(keyValue, { delayMs: 800 }),
-  'key-value answers lost': withFaults(keyValue, { losesAnswers: true }),
+  'key-value service down': withFaults(listStores, { isDown: true }),
+  'key-value service slow': withFaults(listStores, { delayMs: 800 }),
+  'key-value answers lost': withFaults(listStores, { losesAnswers: true }),
   'zone cut off': cutZone,
   'connections silent': silenceEngines,
   'poison request': sendPoison,
--- /dev/null
+++ b/packages-private/measure/src/policy/trialRunners.ts
@@ -0,0 +1,141 @@
+import type * as core from '@jayrock/core';
+import * as platform from '@jayrock/platform';
+import * as shared from '@jayrock/shared';
+import type * as fakeEngine from './fakeEngine.js';
+import type * as timeline from './timeline.js';
+import type * as trial from './trial.js';
+import * as trialConfig from './trialConfig.js';
+import type * as workload from './workload.js';
+
+const CONFIG_DELAY_MS = 300;
+const WITNESS_DELAY_MS = 1;
+const WRITE_DELAY_MS = 5;
+
+/** What the fakes of a trial work with. */
+export interface TrialContext {
+  readonly options: trial.TrialOptions;
+  readonly clock: timeline.Timeline;
+  readonly engines: ReadonlyMap<string, fakeEngine.FakeEngine>;
+  readonly progress: ReadonlyMap<string, trial.Progress>;
+  readonly totals: trial.Totals;
+  readonly getState: () => core.routerState.RouterState;
+  readonly getConfiguration: () => shared.lists.Configuration;
+  readonly adoptModels: (models: shared.lists.ModelsList) => void;
+  readonly dispatch: (event: core.events.EventBody) => void;
+}
+
+/** Runners of the effects that matter in a trial. */
+export type TrialRunners = Partial<{
+  readonly [T in core.effects.EffectType]: (effect: core.effects.EffectOf<T>) => void;
+}>;
+
+/** Makes the runners of effects over fake engines, ratings and stores. */
+export const makeRunners = (context: TrialContext): TrialRunners => {
+  const { totals } = context;
+  const isGood = (work: workload.Work, versionId: string): boolean =>
+    shared.hash.hashToFraction(`${work.requestId}|${versionId}`) <
+    context.options.quality(versionId, work.isHard, work.atMs);
+
+  return {
+    refuse: ({ requestId }) => {
+      const item = context.progress.get(requestId);
+      if (item !== undefined) {
+        item.outcome = 'refused';
+        item.endedAtMs = context.clock.getNowMs();
+      }
+    },
+    startAttempt: (effect) => {
+      const item = context.progress.get(effect.requestId);
+      const engine = context.engines.get(effect.upstreamId);
+      if (item === undefined || engine === undefined) {
+        return;
+      }
+      totals.attemptCount += 1;
+      totals.hedgeCount += Number(
+        (context
+          .getState()
+          .requests.get(effect.requestId)
+          ?.attempts.filter((one) => one.isHedge).length ?? 0) > 0,
+      );
+      item.startedAtMs ??= context.clock.getNowMs();
+      item.versionId = effect.versionId;
+      if (effect.versionId === 'small@v2') {
+        totals.candidateStarts.push(context.clock.getNowMs());
+      }
+      const { requestId, attemptId } = effect;
+      engine.submit({
+        key: `${requestId}/${attemptId}`,
+        tokensIn: item.work.workClass.tokensIn,
+        tokensOut: item.work.tokensOut,
+        prefix: item.work.workClass.prefix,
+        priority: context.options.policy.queue === 'fair' ? effect.priority : 0,
+        onFirstToken: () => {
+          item.firstTokenAtMs ??= context.clock.getNowMs();
+          context.dispatch({ type: 'attemptFirstToken', requestId, attemptId });
+        },
+        onEnd: () => {
+          const tokens = item.work.workClass.tokensIn + item.work.tokensOut;
+          totals.costMicros += (tokens * trialConfig.getPrice(effect.versionId)) / 1_000;
+          context.dispatch({
+            type: 'attemptEnded',
+            requestId,
+            attemptId,
+            tokensOut: item.work.tokensOut,
+            isBilled: true,
+          });
+        },
+      });
+    },
+    cancelAttempt: ({ requestId, attemptId }) =>
+      context.engines.forEach((engine) => engine.cancel(`${requestId}/${attemptId}`)),
+    rateHeldAnswer: ({ requestId, timeoutMs }) => {
+      const item = context.progress.get(requestId);
+      const delayMs = Math.min(context.options.ratingDelayMs, timeoutMs);
+      context.clock.schedule(delayMs, () => {
+        const isLate = context.options.ratingDelayMs > timeoutMs;
+        const isFine = item !== undefined && isGood(item.work, item.versionId);
+        context.dispatch({ type: 'answerRated', requestId, score: isLate ? null : Number(isFine) });
+      });
+    },
+    rateAnswer: ({ requestId, customer, plan, classKey, versionId }) => {
+      const item = context.progress.get(requestId);
+      context.clock.schedule(context.options.ratingDelayMs, () => {
+        const score = Number(item !== undefined && isGood(item.work, versionId));
+        context.dispatch({ type: 'ratingArrived', customer, plan, classKey, versionId, score });
+      });
+    },
+    witnessEntry: ({ entry }) =>
+      context.clock.schedule(1, () =>
+        context.dispatch({ type: 'entryWitnessed', requestId: entry.requestId }),
+      ),
+    writeEntries: ({ entries }) =>
+      context.clock.schedule(5, () =>
+        context.dispatch({
+          type: 'entriesWritten',
+          requestIds: entries.map((entry) => entry.requestId),
+          isWritten: true,
+        }),
+      ),
+    finishAnswer: ({ requestId }) => {
+      const item = context.progress.get(requestId);
+      if (item !== undefined) {
+        item.outcome = 'answered';
+        item.endedAtMs = context.clock.getNowMs();
+      }
+    },
+    armTimer: ({ timer, delayMs }) =>
+      context.clock.schedule(delayMs, () => context.dispatch({ type: 'timerFired', timer })),
+    proposeRollout: ({ model, to, change, fromStep }) =>
+      context.clock.schedule(CONFIG_DELAY_MS, () => {
+        const target = { model, version: to, ...(change === 'advance' ? { fromStep } : {}) };
+        const edited = platform.rolloutEdits.editRollout(
+          context.getConfiguration().models,
+          change,
+          target,
+        );
+        if (edited.ok) {
+          context.adoptModels(edited.value);
+        }
+      }),
+  };
+};
--- /dev/null
+++ b/packages-private/measure/src/policy/workload.ts
@@ -0,0 +1,159 @@
+import type * as core from '@jayrock/core';
+import type * as rng from './rng.js';
+
+/** One kind of request in a site's mix. */
+export interface WorkClass {
+  readonly name: string;
+  readonly share: number;
+  readonly tokensIn: number;
+  readonly tokensOut: number;
+  /** Share of these requests that only the dearest model answers well. */
+  readonly hardShare: number;
+  readonly prefix: number;
+  readonly streaming: boolean;
+}
+
+/** One request with what the router cannot see. */
+export interface Work {
+  readonly requestId: string;
+  readonly customer: string;
+  readonly workClass: WorkClass;
+  readonly tokensOut: number;
+  readonly isHard: boolean;
+  readonly atMs: number;
+  readonly shape: core.requestState.RequestShape;
+}
+
+/** Requests a second at a time, in milliseconds. */
+export type DemandCurve = (atMs: number) => number;
+
+/** Ledgerline's clerks: gap explanations, audit summaries and reconciliations. */
+export const LEDGERLINE_CLASSES: readonly WorkClass[] = [
+  {
+    name: 'gap',
+    share: 0.55,
+    tokensIn: 160,
+    tokensOut: 40,
+    hardShare: 0.05,
+    prefix: 11,
+    streaming: true,
+  },
+  {
+    name: 'audit',
+    share: 0.3,
+    tokensIn: 800,
+    tokensOut: 140,
+    hardShare: 0.5,
+    prefix: 12,
+    streaming: true,
+  },
+  {
+    name: 'reconcile',
+    share: 0.15,
+    tokensIn: 2_000,
+    tokensOut: 600,
+    hardShare: 0.8,
+    prefix: 13,
+    streaming: false,
+  },
+];
+
+/** Cremona's callers: ticking faults, part names and long diagnoses. */
+export const CREMONA_CLASSES: readonly WorkClass[] = [
+  {
+    name: 'ticking',
+    share: 0.4,
+    tokensIn: 80,
+    tokensOut: 50,
+    hardShare: 0.1,
+    prefix: 21,
+    streaming: true,
+  },
+  {
+    name: 'part',
+    share: 0.35,
+    tokensIn: 40,
+    tokensOut: 12,
+    hardShare: 0.02,
+    prefix: 22,
+    streaming: true,
+  },
+  {
+    name: 'diagnosis',
+    share: 0.25,
+    tokensIn: 1_500,
+    tokensOut: 700,
+    hardShare: 0.9,
+    prefix: 23,
+    streaming: false,
+  },
+];
+
+/** Customers' shares of the requests: a few large ones, as at both sites. */
+const CUSTOMER_SHARES = [0.25, 0.2, 0.15, 0.1, 0.08, 0.07, 0.05, 0.05, 0.03, 0.02] as const;
+
+/** Names of the customers of a workload. */
+export const CUSTOMERS = CUSTOMER_SHARES.map((_, index) => `customer-${index}`);
+
+const pickByShare = <T>(
+  items: readonly T[],
+  getShare: (item: T, index: number) => number,
+  fraction: number,
+): T => {
+  const total = items.reduce((sum, item, index) => sum + getShare(item, index), 0);
+  let left = fraction * total;
+  const found = items.find((item, index) => {
+    left -= getShare(item, index);
+    return left < 0;
+  });
+  return found ?? (items.at(-1) as T);
+};
+
+const makeShape = (workClass: WorkClass, requestId: string): core.requestState.RequestShape => ({
+  kind: 'chat',
+  target: 'auto',
+  adapter: null,
+  path: '',
+  streaming: workClass.streaming,
+  tokensIn: workClass.tokensIn,
+  maxTokens: 2_000,
+  prefix: workClass.prefix,
+  fingerprint: requestId,
+});
+
+/** Draws one request of a mix. */
+const drawWork = (
+  classes: readonly WorkClass[],
+  draws: rng.Rng,
+  index: number,
+  atMs: number,
+): Work => {
+  const workClass = pickByShare(classes, (item) => item.share, draws.next());
+  const requestId = `r${index}`;
+  return {
+    requestId,
+    customer: pickByShare(CUSTOMERS, (_, rank) => CUSTOMER_SHARES[rank] ?? 0, draws.next()),
+    workClass,
+    tokensOut: Math.max(2, Math.round(workClass.tokensOut * (0.5 + draws.next()))),
+    isHard: draws.next() < workClass.hardShare,
+    atMs,
+    shape: makeShape(workClass, requestId),
+  };
+};
+
+/** Draws all requests up to a time, by thinning a Poisson process to the demand curve. */
+export const drawWorkload = (
+  classes: readonly WorkClass[],
+  demand: DemandCurve,
+  maxRate: number,
+  untilMs: number,
+  draws: rng.Rng,
+): readonly Work[] => {
+  const drawn: Work[] = [];
+  for (let atMs = 0; atMs < untilMs; atMs += draws.nextExponential(1_000 / maxRate)) {
+    if (draws.next() < demand(atMs) / maxRate) {
+      drawn.push(drawWork(classes, draws, drawn.length, atMs));
+    }
+  }
+  return drawn;
+};
