fix(core): judge congestion by the average first token and foreign load by own peaks

Cause: a single slow first token (a prompt whose prefix was not cached) cut an upstream's limit, and load reports that lag counted own finished work as foreign, so limits fell to half the slots at 85 % load. Ruled out: the long-work reserve (58 % of the load is long, the reserve allows 70 %). Also: claim logs count a failed write only if the log did not grow, since lost answers after landed writes made 56 of 237 resends 'may have run'.

--- a/packages-private/measure/src/policy/trialRunners.ts
+++ b/packages-private/measure/src/policy/trialRunners.ts
@@ -105,11 +105,11 @@
       });
     },
     witnessEntry: ({ entry }) =>
-      context.clock.schedule(1, () =>
+      context.clock.schedule(WITNESS_DELAY_MS, () =>
         context.dispatch({ type: 'entryWitnessed', requestId: entry.requestId }),
       ),
     writeEntries: ({ entries }) =>
-      context.clock.schedule(5, () =>
+      context.clock.schedule(WRITE_DELAY_MS, () =>
         context.dispatch({
           type: 'entriesWritten',
           requestIds: entries.map((entry) => entry.requestId),
--- a/packages/core/src/attempts.ts
+++ b/packages/core/src/attempts.ts
@@ -44,7 +44,7 @@
     laneState.recordFirstToken(known, elapsedMs),
   );
   const noted = routerState.updateUpstream(timed, attempt.upstreamId, (known) =>
-    upstreamState.recordFirstToken(known, slowness),
+    upstreamState.recordFirstToken(known, slowness, nowMs),
   );
   const returned = health.judgeProbation(noted, attempt.upstreamId, slowness, nowMs);
   return health.judgeUpstream(returned, attempt.upstreamId, nowMs);
--- a/packages/core/src/claims/claimBook.ts
+++ b/packages/core/src/claims/claimBook.ts
@@ -174,6 +174,8 @@
     ...log,
     records: event.segments.reduce(claimLog.applyOperations, log.records),
     tail: log.tail + event.segments.length,
+    // New segments mean that the store takes writes, even if their answers are lost.
+    failureCount: event.segments.length > 0 ? 0 : log.failureCount,
     // The batch of a write whose fate was unknown is judged again by what stands in the log.
     waiting: [...log.batch, ...log.waiting],
     batch: [],
--- a/packages/core/src/dispatch.ts
+++ b/packages/core/src/dispatch.ts
@@ -59,6 +59,7 @@
 ): upstreamState.UpstreamState => ({
   ...upstream,
   inFlight: upstream.inFlight + 1,
+  recentPeak: Math.max(upstream.recentPeak, upstream.inFlight + 1),
   longInFlight: upstream.longInFlight + Number(request.isLong),
   suspectInFlight: upstream.suspectInFlight + Number(request.isSuspect),
 });
--- a/packages/core/src/upstreamState.ts
+++ b/packages/core/src/upstreamState.ts
@@ -15,12 +15,16 @@
   readonly reportedAtMs: number;
   /** Own attempts under way. */
   readonly inFlight: number;
+  /** Largest number of own attempts since the last report, and between the two before it. */
+  readonly recentPeak: number;
+  readonly previousPeak: number;
   readonly longInFlight: number;
   readonly suspectInFlight: number;
   /** Own attempts that passed their hedge delay without a token. */
   readonly overdue: number;
   /** Adaptive concurrency limit. */
   readonly limit: number;
+  readonly limitCutAtMs: number;
   /** First-token time relative to the service's typical one. */
   readonly slowness: average.Average;
   readonly failuresInRow: number;
@@ -33,11 +37,13 @@
 /** Slots assumed before the first load report. */
 const DEFAULT_SLOTS = 8;
 /** Largest limit as a multiple of the reported slots. */
-const LIMIT_HEADROOM = 1.25;
+const LIMIT_HEADROOM = 1;
 /** Factor by which a congested upstream's limit shrinks. */
 const LIMIT_DECREASE = 0.85;
 /** Slowness above which a first token counts as a sign of congestion. */
 const CONGESTED_SLOWNESS = 3;
+/** Shortest time between two decreases, in milliseconds. */
+const LIMIT_CUT_PAUSE_MS = 1_000;
 /** Weight of one sample in the slowness average. */
 const SLOWNESS_WEIGHT = 0.3;
 /** Time after which a load report counts for 1/e of its value, in milliseconds. */
@@ -55,10 +61,13 @@
   foreignLoad: 0,
   reportedAtMs: 0,
   inFlight: 0,
+  recentPeak: 0,
+  previousPeak: 0,
   longInFlight: 0,
   suspectInFlight: 0,
   overdue: 0,
   limit: DEFAULT_SLOTS,
+  limitCutAtMs: 0,
   slowness: average.EMPTY_AVERAGE,
   failuresInRow: 0,
   health: 'ok',
@@ -93,23 +102,45 @@
     upstream.reportedAtMs === 0
       ? report.slots
       : Math.min(upstream.limit, report.slots * LIMIT_HEADROOM),
-  foreignLoad: Math.max(0, report.running + report.waiting - upstream.inFlight),
+  // The report lags, so own work is taken as what it was at most while the report was made.
+  foreignLoad: Math.max(
+    0,
+    report.running + report.waiting - Math.max(upstream.recentPeak, upstream.previousPeak),
+  ),
+  recentPeak: upstream.inFlight,
+  previousPeak: upstream.recentPeak,
   reportedAtMs: nowMs,
 });
 
-const adjustLimit = (upstream: UpstreamState, slowness: number): number => {
-  if (slowness > CONGESTED_SLOWNESS) {
-    return Math.max(1, upstream.limit * LIMIT_DECREASE);
+/**
+ * Additive increase, multiplicative decrease. Single first tokens vary with prompts and prefix
+ * caches, so only their average counts as congestion, and at most once in a pause.
+ */
+const adjustLimit = (
+  upstream: UpstreamState,
+  nowMs: number,
+): Pick<UpstreamState, 'limit' | 'limitCutAtMs'> => {
+  const { limit, limitCutAtMs } = upstream;
+  if (upstream.slowness.value > CONGESTED_SLOWNESS) {
+    return nowMs - limitCutAtMs < LIMIT_CUT_PAUSE_MS
+      ? { limit, limitCutAtMs }
+      : { limit: Math.max(1, limit * LIMIT_DECREASE), limitCutAtMs: nowMs };
   }
-  const isUsed = upstream.inFlight * 2 >= upstream.limit;
+  const isUsed = upstream.inFlight * 2 >= limit;
   const ceiling = Math.max(1, upstream.slots * LIMIT_HEADROOM);
-  return isUsed ? Math.min(ceiling, upstream.limit + 1 / upstream.limit) : upstream.limit;
+  return { limit: isUsed ? Math.min(ceiling, limit + 1 / limit) : limit, limitCutAtMs };
 };
 
 /** Records the time to a first token, relative to the service's typical one. */
-export const recordFirstToken = (upstream: UpstreamState, slowness: number): UpstreamState => ({
-  ...upstream,
-  slowness: average.updateAverage(upstream.slowness, slowness, SLOWNESS_WEIGHT),
-  limit: adjustLimit(upstream, slowness),
-  failuresInRow: 0,
-});
+export const recordFirstToken = (
+  upstream: UpstreamState,
+  slowness: number,
+  nowMs: number,
+): UpstreamState => {
+  const timed = {
+    ...upstream,
+    slowness: average.updateAverage(upstream.slowness, slowness, SLOWNESS_WEIGHT),
+    failuresInRow: 0,
+  };
+  return { ...timed, ...adjustLimit(timed, nowMs) };
+};
