feat(core): find stragglers by the pace of running answers

Cause: first-token times show a slow upstream only after new requests have met it; two requests a second and upstream against spans of 3 s put more than 1 % of requests on one. Answers already running show it within 200 ms, and their recovery takes an upstream back without risking a new request. The cap on ejected upstreams falls from 34 to 20 %: with six servers at 85 % load the former let false ejections take a third of the pool.

--- a/packages-private/measure/src/policy/fakeEngine.ts
+++ b/packages-private/measure/src/policy/fakeEngine.ts
@@ -37,6 +37,8 @@
   readonly submit: (job: Job) => void;
   readonly cancel: (key: string) => void;
   readonly describeLoad: (loaded: readonly string[]) => shared.hosts.LoadReport;
+  /** Time between tokens relative to the usual one, or null when no answer is under way. */
+  readonly findPace: () => number | null;
   /** Tokens generated and read, also for cancelled work. */
   readonly getWork: () => number;
 }
@@ -64,9 +66,23 @@
       );
 };
 
+/** Span over which a pace is seen, in milliseconds. */
+export const PACE_SPAN_MS = 200;
+
+/** Mean slowness over the last span. */
+const findSlowness = (nowMs: number, spans: readonly SlowSpan[]): number => {
+  const fromMs = nowMs - PACE_SPAN_MS;
+  const done = spans.reduce((sum, span) => {
+    const slowMs = Math.max(0, Math.min(span.toMs, nowMs) - Math.max(span.fromMs, fromMs));
+    return sum - slowMs * (1 - 1 / span.factor);
+  }, PACE_SPAN_MS);
+  return PACE_SPAN_MS / done;
+};
+
 /** Makes a fake engine on a timeline. */
 export const makeEngine = (clock: timeline.Timeline, model: EngineModel): FakeEngine => {
   const running = new Map<string, Job>();
+  const decodingSince = new Map<string, number>();
   let waiting: Job[] = [];
   let prefixes: number[] = [];
   let work = 0;
@@ -87,12 +103,14 @@
     clock.schedule(firstMs - nowMs, () => {
       if (running.get(job.key) === job) {
         work += job.tokensIn / PROMPT_TOKENS_PER_UNIT;
+        decodingSince.set(job.key, clock.getNowMs());
         job.onFirstToken();
       }
     });
     clock.schedule(endMs - nowMs, () => {
       if (running.get(job.key) === job) {
         running.delete(job.key);
+        decodingSince.delete(job.key);
         work += job.tokensOut;
         onFreed();
         job.onEnd();
@@ -117,6 +135,7 @@
     },
     cancel: (key) => {
       running.delete(key);
+      decodingSince.delete(key);
       waiting = waiting.filter((job) => job.key !== key);
       startWaiting();
     },
@@ -126,6 +145,13 @@
       slots: model.slots,
       loaded,
     }),
+    findPace: () => {
+      const nowMs = clock.getNowMs();
+      const isActive = Array.from(decodingSince.values()).some(
+        (sinceMs) => nowMs - sinceMs >= PACE_SPAN_MS,
+      );
+      return isActive ? findSlowness(nowMs, model.slowSpans) : null;
+    },
     getWork: () => work,
   };
 };
--- a/packages-private/measure/src/policy/trial.ts
+++ b/packages-private/measure/src/policy/trial.ts
@@ -149,8 +149,21 @@
   repeat();
 };
 
-const startTicks = (clock: timeline.Timeline, node: Node): void => {
+const reportPaces = (engines: ReadonlyMap<string, fakeEngine.FakeEngine>, node: Node): void =>
+  engines.forEach((engine) => {
+    const slowness = engine.findPace();
+    if (slowness !== null) {
+      node.dispatch({ type: 'paceReported', upstreamId: engine.model.id, slowness });
+    }
+  });
+
+const startTicks = (
+  clock: timeline.Timeline,
+  engines: ReadonlyMap<string, fakeEngine.FakeEngine>,
+  node: Node,
+): void => {
   const tick = (): void => {
+    reportPaces(engines, node);
     node.dispatch({ type: 'ticked' });
     node.dispatch({ type: 'configConfirmed' });
     node.dispatch({ type: 'ledgerDue' });
@@ -197,7 +210,7 @@
     })),
   });
   startReports(options, clock, engines, node);
-  startTicks(clock, node);
+  startTicks(clock, engines, node);
   options.works.forEach((work) =>
     clock.schedule(work.atMs, () => {
       progress.set(work.requestId, makeProgress(work));
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -25,6 +25,8 @@
     readonly upstreamId: string;
     readonly report: shared.hosts.LoadReport;
   };
+  /** Time between tokens of an upstream's running answers, relative to its usual one. */
+  readonly paceReported: { readonly upstreamId: string; readonly slowness: number };
   readonly requestArrived: {
     readonly requestId: string;
     readonly customer: string;
--- a/packages/core/src/health.ts
+++ b/packages/core/src/health.ts
@@ -1,18 +1,24 @@
+import type * as events from './events.js';
 import type * as policy from './policy.js';
-import type * as routerState from './routerState.js';
+import * as routerState from './routerState.js';
 import * as average from './average.js';
-import type * as upstreamState from './upstreamState.js';
+import * as step from './step.js';
+import * as upstreamState from './upstreamState.js';
 
 /** Slowness from which an upstream counts as a straggler. */
-const EJECT_SLOWNESS = 3;
+const EJECT_SLOWNESS = 4;
+/** Relative time between tokens from which an upstream counts as a straggler. */
+const EJECT_PACE = 3;
+/** Relative time between tokens below which an ejected upstream is taken back. */
+const RETURN_PACE = 1.5;
 /** First tokens needed before slowness is believed. */
-const MIN_SAMPLES = 3;
+const MIN_SAMPLES = 5;
 /** Overdue attempts that eject an upstream without waiting for their first tokens. */
 const EJECT_OVERDUE = 3;
 /** Failures in a row that eject an upstream. */
 const EJECT_FAILURES = 3;
 /** Largest share of a service's upstreams that may be ejected at once. */
-const MAX_EJECTED_SHARE = 0.34;
+const MAX_EJECTED_SHARE = 0.2;
 /** First time an upstream stays ejected, in milliseconds. */
 const BASE_EJECTION_MS = 1_000;
 /** Longest time an upstream stays ejected, in milliseconds. */
@@ -26,7 +32,8 @@
   nowMs: number,
 ) => routerState.RouterState;
 
-const isStraggler = (upstream: upstreamState.UpstreamState): boolean =>
+const isStraggler = (upstream: upstreamState.UpstreamState, nowMs: number): boolean =>
+  (upstreamState.getFreshPace(upstream, nowMs) ?? 0) > EJECT_PACE ||
   upstream.failuresInRow >= EJECT_FAILURES ||
   upstream.overdue >= EJECT_OVERDUE ||
   (upstream.slowness.count >= MIN_SAMPLES && upstream.slowness.value > EJECT_SLOWNESS);
@@ -37,7 +44,9 @@
     .filter((one) => one.host.service === service && one.host.state === 'live')
     .toArray();
   const ejected = peers.filter((one) => one.health !== 'ok').length;
-  return ejected + 1 <= Math.floor(peers.length * MAX_EJECTED_SHARE);
+  return (
+    ejected + 1 <= Math.max(Number(peers.length > 2), Math.floor(peers.length * MAX_EJECTED_SHARE))
+  );
 };
 
 const eject = (
@@ -60,7 +69,7 @@
 const EJECTION_HANDLERS: Readonly<Record<policy.Policy['ejection'], EjectionHandler>> = {
   relative: (current, upstream, nowMs) =>
     upstream.health === 'ok' &&
-    isStraggler(upstream) &&
+    isStraggler(upstream, nowMs) &&
     hasEjectionRoom(current, upstream.host.service)
       ? eject(current, upstream, nowMs)
       : current,
@@ -97,13 +106,31 @@
   return { ...current, upstreams: current.upstreams.set(id, next) };
 };
 
+/** Forgets the signs that led to an ejection. */
+const clearSigns = (
+  upstream: upstreamState.UpstreamState,
+  health: upstreamState.UpstreamHealth,
+): upstreamState.UpstreamState => ({
+  ...upstream,
+  health,
+  slowness: average.EMPTY_AVERAGE,
+  failuresInRow: 0,
+});
+
 const releaseEjected = (
   upstream: upstreamState.UpstreamState,
   nowMs: number,
-): upstreamState.UpstreamState =>
-  upstream.health === 'ejected' && nowMs >= upstream.returnsAtMs
-    ? { ...upstream, health: 'probation', slowness: average.EMPTY_AVERAGE, failuresInRow: 0 }
-    : upstream;
+): upstreamState.UpstreamState => {
+  if (upstream.health !== 'ejected') {
+    return upstream;
+  }
+  const pace = upstreamState.getFreshPace(upstream, nowMs);
+  // Answers still running on an ejected upstream show its recovery without risking a new one.
+  if (pace !== null && upstream.overdue === 0) {
+    return pace < RETURN_PACE ? clearSigns(upstream, 'ok') : upstream;
+  }
+  return nowMs >= upstream.returnsAtMs ? clearSigns(upstream, 'probation') : upstream;
+};
 
 /** Puts upstreams whose ejection has ended on probation. */
 export const tickHealth = (
@@ -113,3 +140,19 @@
   ...current,
   upstreams: current.upstreams.map((upstream) => releaseEjected(upstream, nowMs)),
 });
+
+const handlePaceReported = (
+  current: routerState.RouterState,
+  event: events.EventOf<'paceReported'>,
+): step.Step => {
+  const { upstreamId, slowness, nowMs } = event;
+  const noted = routerState.updateUpstream(current, upstreamId, (known) => ({
+    ...known,
+    pace: slowness,
+    paceAtMs: nowMs,
+  }));
+  return step.makeStep(judgeUpstream(noted, upstreamId, nowMs));
+};
+
+/** Handlers of what a router sees of its upstreams' health. */
+export const HANDLERS = { paceReported: handlePaceReported } as const;
--- a/packages/core/src/reduce.ts
+++ b/packages/core/src/reduce.ts
@@ -4,6 +4,7 @@
 import * as completion from './completion.js';
 import type * as events from './events.js';
 import * as fleet from './fleet.js';
+import * as health from './health.js';
 import * as ledgerBook from './ledger/ledgerBook.js';
 import * as membership from './membership/membership.js';
 import * as reroute from './reroute.js';
@@ -24,6 +25,7 @@
   ...claimBook.HANDLERS,
   ...completion.HANDLERS,
   ...fleet.HANDLERS,
+  ...health.HANDLERS,
   ...ledgerBook.HANDLERS,
   ...membership.HANDLERS,
   ...rollouts.HANDLERS,
--- a/packages/core/src/upstreamState.ts
+++ b/packages/core/src/upstreamState.ts
@@ -27,6 +27,9 @@
   readonly limitCutAtMs: number;
   /** First-token time relative to the service's typical one. */
   readonly slowness: average.Average;
+  /** Last relative time between tokens, and when it was seen. */
+  readonly pace: number;
+  readonly paceAtMs: number;
   readonly failuresInRow: number;
   readonly health: UpstreamHealth;
   readonly returnsAtMs: number;
@@ -69,6 +72,8 @@
   limit: DEFAULT_SLOTS,
   limitCutAtMs: 0,
   slowness: average.EMPTY_AVERAGE,
+  pace: 1,
+  paceAtMs: 0,
   failuresInRow: 0,
   health: 'ok',
   returnsAtMs: 0,
@@ -89,6 +94,13 @@
   return (load + upstream.overdue * OVERDUE_PENALTY) * slowness;
 };
 
+/** Age up to which a pace counts, in milliseconds. */
+const PACE_FRESH_MS = 500;
+
+/** Returns an upstream's pace if it was seen a moment ago. */
+export const getFreshPace = (upstream: UpstreamState, nowMs: number): number | null =>
+  nowMs - upstream.paceAtMs <= PACE_FRESH_MS ? upstream.pace : null;
+
 /** Applies a load report. */
 export const applyReport = (
   upstream: UpstreamState,
--- a/packages/router/src/effectRunners.ts
+++ b/packages/router/src/effectRunners.ts
@@ -13,6 +13,7 @@
 import type * as serviceLevels from './serviceLevels.js';
 import type * as agents from './upstreams/agents.js';
 import * as attemptRunner from './upstreams/attemptRunner.js';
+import type * as paceMonitor from './upstreams/paceMonitor.js';
 
 /** What the effect runners work with. */
 export interface RunnerContext {
@@ -20,6 +21,7 @@
   readonly settings: shared.settings.Settings;
   readonly pending: Map<string, pendingRequest.PendingRequest>;
   readonly pools: agents.Agents;
+  readonly pace: paceMonitor.PaceMonitor;
   readonly rating: platform.ratingService.RatingService;
   readonly claims: claimService.ClaimService;
   readonly ledger: ledgerService.LedgerService;
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -22,6 +22,7 @@
 import * as serviceLevels from './serviceLevels.js';
 import * as statusServer from './statusServer.js';
 import * as agents from './upstreams/agents.js';
+import * as paceMonitor from './upstreams/paceMonitor.js';
 
 /** Time between two ticks of the reducer, in milliseconds. */
 const TICK_MS = 100;
@@ -155,6 +156,7 @@
   );
   const pending = new Map<string, pendingRequest.PendingRequest>();
   const pools = agents.makeAgents(getLocalAddress(settings));
+  const pace = paceMonitor.startPaceMonitor(node);
   const levels = serviceLevels.makeServiceLevels();
   const services = startServices(node, settings, opened);
   node.connect(
@@ -163,6 +165,7 @@
       settings,
       pending,
       pools,
+      pace,
       rating: opened.rating,
       levels,
       log,
@@ -203,6 +206,7 @@
     feeds.stop();
     services.peers.stop();
     services.ledger.stop();
+    pace.stop();
     await Promise.all([peerListener.close(), status.close()]);
     await Promise.all([pools.close(), services.client.close(), opened.close()]);
   };
--- a/packages/router/src/upstreams/attemptRunner.ts
+++ b/packages/router/src/upstreams/attemptRunner.ts
@@ -62,7 +62,15 @@
 
 const startChat: AttemptStarter = (context, pending, effect) => {
   resetAnswer(pending, effect);
-  return chatAttempt.runChatAttempt(
+  let hasStarted = false;
+  const endPace = (): void => {
+    if (hasStarted) {
+      hasStarted = false;
+      context.pace.recordEnd(effect.upstreamId);
+    }
+  };
+  const handleFailure = makeFailureHandler(context, pending, effect);
+  const cancel = chatAttempt.runChatAttempt(
     context.pools,
     {
       requestId: pending.requestId,
@@ -75,6 +83,8 @@
     context.settings.limits,
     {
       handleFirstToken: () => {
+        hasStarted = true;
+        context.pace.recordStart(effect.upstreamId);
         pending.versionId = effect.versionId;
         pending.upstreamId = effect.upstreamId;
         context.node.dispatch({
@@ -83,8 +93,12 @@
           attemptId: effect.attemptId,
         });
       },
-      handleEvents: (events) => relayEvents(pending, effect, events),
+      handleEvents: (events) => {
+        context.pace.recordTokens(effect.upstreamId, events.length);
+        return relayEvents(pending, effect, events);
+      },
       handleEnd: () => {
+        endPace();
         pending.attempts.delete(effect.attemptId);
         context.node.dispatch({
           type: 'attemptEnded',
@@ -94,9 +108,16 @@
           isBilled: true,
         });
       },
-      handleFailure: makeFailureHandler(context, pending, effect),
+      handleFailure: (failure) => {
+        endPace();
+        handleFailure(failure);
+      },
     },
   );
+  return () => {
+    endPace();
+    cancel();
+  };
 };
 
 const FIRST_REJECTED_STATUS = 400;
