fix(core): write a claim operation again only if it would change the log

Cause: when answers of the key-value service were lost, the record of an answer was written again and again, each time as a new segment, because only claims were recognised as already standing in the log; the client's call budget ran out and claims were refused, and their resends told 'may have run'. Ruled out: the failure count (reset by growth). Also: a hedge the budget does not allow is tried again later, and the first byte's time limit falls to 5 s plus 2 ms a prompt token, since four chats on silent connections had waited 20 s.

--- a/packages-private/measure/src/faults/judge.ts
+++ b/packages-private/measure/src/faults/judge.ts
@@ -28,10 +28,12 @@
     .list('ledger/')
     .flatMap((row) => JSON.parse(row.value) as shared.ledgerEntry.LedgerEntry[]);
 
+/** After the last request was sent there is nothing left to serve, so no gap is counted there. */
 const computeLongestGap = (results: readonly load.Tracked[]): number => {
+  const lastSentMs = Math.max(...results.map((tracked) => tracked.startedAtMs));
   const times = results
     .filter((tracked) => tracked.final.isWhole && tracked.kind !== 'issue')
-    .map((tracked) => tracked.endedAtMs)
+    .map((tracked) => Math.min(tracked.endedAtMs, lastSentMs))
     .toSorted((a, b) => a - b);
   return times.reduce(
     (longest, time, index) => Math.max(longest, time - (times[index - 1] ?? time)),
--- a/packages/core/src/attempts.ts
+++ b/packages/core/src/attempts.ts
@@ -21,6 +21,9 @@
   readonly attempt: requestState.Attempt;
 }
 
+/** Shortest pause before a hedge that was not possible is tried again, in milliseconds. */
+const MIN_REHEDGE_MS = 50;
+
 /** Finds the attempt an event speaks of; late events of ended attempts find nothing. */
 const findAttempt = (
   current: routerState.RouterState,
@@ -270,7 +273,9 @@
     budget.hasBudget(lane.hedgeBudget);
   const other = mayHedge ? dispatch.findOtherUpstream(judged, overdue, stamp) : null;
   if (other === null) {
-    return step.makeStep(judged);
+    // The budget may allow a hedge later, and a silent connection would otherwise wait long.
+    const delayMs = Math.max(MIN_REHEDGE_MS, stamp.nowMs - attempt.startedAtMs);
+    return step.makeStep(judged, { type: 'armTimer', timer, delayMs });
   }
   const paid = routerState.updateLane(judged, request.service, stamp.nowMs, (known) => ({
     ...known,
--- a/packages/core/src/claims/claimBook.ts
+++ b/packages/core/src/claims/claimBook.ts
@@ -75,9 +75,9 @@
 ): readonly effects.Effect[] =>
   operations.flatMap((operation) => makeAnswer(operation, records.get(operation.id)));
 
-/** Claims that the log already decides need no write. */
+/** Operations that would change nothing need no write, such as those of a write that landed. */
 const isDecided = (records: claimLog.ClaimRecords, operation: claimLog.ClaimOperation): boolean =>
-  operation.kind === 'claim' && records.has(operation.id);
+  claimLog.applyOperations(records, [operation]) === records;
 
 /** Starts a write of what waits; claims that are decided by now are answered instead. */
 const writeWaiting = (
--- a/packages/core/src/claims/claimLog.ts
+++ b/packages/core/src/claims/claimLog.ts
@@ -37,7 +37,7 @@
 
 const applyAnswer: OperationHandler = (records, operation) => {
   const known = records.get(operation.id);
-  return operation.kind === 'answer' && known?.token === operation.token
+  return operation.kind === 'answer' && known?.token === operation.token && known.answer === null
     ? records.set(operation.id, { ...known, answer: operation.answer })
     : records;
 };
--- a/packages/router/src/upstreams/attemptRunner.ts
+++ b/packages/router/src/upstreams/attemptRunner.ts
@@ -60,6 +60,9 @@
   }
 };
 
+/** Time allowed for reading one prompt token, in milliseconds. */
+const FIRST_BYTE_MS_PER_TOKEN = 2;
+
 const startChat: AttemptStarter = (context, pending, effect) => {
   resetAnswer(pending, effect);
   let hasStarted = false;
@@ -80,7 +83,12 @@
       resumeFrom: effect.resumeFrom,
       body: pending.body,
     },
-    context.settings.limits,
+    {
+      silentStreamMs: context.settings.limits.silentStreamMs,
+      firstByteTimeoutMs:
+        context.settings.limits.firstByteTimeoutMs +
+        pending.shape.tokensIn * FIRST_BYTE_MS_PER_TOKEN,
+    },
     {
       handleFirstToken: () => {
         hasStarted = true;
--- a/packages/shared/src/settings.ts
+++ b/packages/shared/src/settings.ts
@@ -40,8 +40,8 @@
     headersTimeoutMs: zod.number().int().positive().default(5_000),
     /** Time without a token after which a stream counts as silent, in milliseconds. */
     silentStreamMs: zod.number().int().positive().default(2_000),
-    /** Time for an upstream to send its first byte, in milliseconds. */
-    firstByteTimeoutMs: zod.number().int().positive().default(20_000),
+    /** Time for an upstream to send its first byte to an empty prompt, in milliseconds. */
+    firstByteTimeoutMs: zod.number().int().positive().default(5_000),
     /** Largest number of billing entries held in memory. */
     maxLedgerEntries: zod.number().int().positive().default(20_000),
   })
@@ -74,7 +74,7 @@
       maxBodyBytes: 1_048_576,
       headersTimeoutMs: 5_000,
       silentStreamMs: 2_000,
-      firstByteTimeoutMs: 20_000,
+      firstByteTimeoutMs: 5_000,
       maxLedgerEntries: 20_000,
     }),
     logLevel: zod.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
