feat(core): test versions by epochs, and watch a finished roll-out until its old version is withdrawn

Cause: one sum of all ratings lets a long good time hide a later drop, and a finished roll-out was not watched at all. The test now starts anew at every epoch, the error rate shared out over the starts; answers of watched versions are all rated.

--- a/packages-private/measure/src/policy/scenarios.ts
+++ b/packages-private/measure/src/policy/scenarios.ts
@@ -62,13 +62,40 @@
 
 type Site = Scenario['site'];
 
+const changeShares = (
+  classes: readonly workload.WorkClass[],
+  shares: readonly (readonly [number, number])[],
+): readonly workload.WorkClass[] =>
+  classes.map((one, index) => ({
+    ...one,
+    share: shares[index]?.[0] ?? one.share,
+    hardShare: shares[index]?.[1] ?? one.hardShare,
+  }));
+
+/** Mixes in which seven tenths of the tokens need only the cheap model. */
+const COST_CLASSES: Readonly<Record<Site, readonly workload.WorkClass[]>> = {
+  ledgerline: changeShares(workload.LEDGERLINE_CLASSES, [
+    [0.6, 0.03],
+    [0.33, 0.06],
+    [0.07, 0.95],
+  ]),
+  cremona: changeShares(workload.CREMONA_CLASSES, [
+    [0.55, 0.03],
+    [0.43, 0.02],
+    [0.02, 0.9],
+  ]),
+};
+
 const COST_MS = 240_000;
 
+const sumOver = <T>(items: readonly T[], getValue: (item: T) => number): number =>
+  items.reduce((sum, item) => sum + getValue(item), 0);
+
 const runCost =
   (site: Site): Scenario['run'] =>
   (policy, seed) => {
     const draws = rngs.makeRng(seed);
-    const works = workload.drawWorkload(CLASSES[site], () => 8, 8, COST_MS, draws);
+    const works = workload.drawWorkload(COST_CLASSES[site], () => 8, 8, COST_MS, draws);
     const result = trial.runTrial({
       seed,
       policy,
@@ -81,25 +108,29 @@
       ratingDelayMs: 400,
     });
     const answered = result.results.filter((item) => item.outcome === 'answered');
+    const tokens = (work: workload.Work): number => work.tokensOut + work.workClass.tokensIn;
+    const easyTokens = sumOver(works, (work) => (work.isHard ? 0 : tokens(work)));
     return {
+      easyShare: easyTokens / sumOver(works, tokens),
       cost: result.costMicros / Math.max(1, answered.length),
       quality: answered.filter((item) => item.isGood).length / Math.max(1, answered.length),
     };
   };
 
 const EXPOSURE_MS = 240_000;
+/** The drop comes while the roll-out stands at its first ten per cent. */
 const DROP_AT_MS = 4_000;
+/** The late drop comes after a long good time. */
+const LATE_DROP_AT_MS = 90_000;
 
 /** The candidate is good until it turns bad while the ramp stands at ten per cent. */
-const judgeDropping: trial.QualityRule = (versionId, _, atMs) => {
-  if (versionId !== 'small@v2') {
-    return 0.9;
-  }
-  return atMs < DROP_AT_MS ? 0.9 : 0.6;
-};
+const judgeDropping =
+  (dropAtMs: number): trial.QualityRule =>
+  (versionId, _, atMs) =>
+    versionId === 'small@v2' && atMs >= dropAtMs ? 0.6 : 0.9;
 
 const runExposure =
-  (site: Site): Scenario['run'] =>
+  (site: Site, dropAtMs: number): Scenario['run'] =>
   (policy, seed) => {
     const draws = rngs.makeRng(seed);
     const works = workload
@@ -110,14 +141,14 @@
       policy,
       works: works.filter((work) => work.workClass.tokensOut < 200),
       engines: makeEngines(12, 16),
-      quality: judgeDropping,
+      quality: judgeDropping(dropAtMs),
       untilMs: EXPOSURE_MS,
       deadlineMs: 60_000,
       reportLagMs: 1_000,
       ratingDelayMs: 2_000,
       hasRollout: true,
     });
-    return { exposed: result.candidateStarts.filter((atMs) => atMs >= DROP_AT_MS).length };
+    return { exposed: result.candidateStarts.filter((atMs) => atMs >= dropAtMs).length };
   };
 
 const CREST_MS = 90_000;
@@ -322,7 +353,15 @@
     site,
     target: 'exposed <= 0.1x',
     policies: makePolicies({ ramp: 'gated' }),
-    run: runExposure(site),
+    run: runExposure(site, DROP_AT_MS),
+    compare: (naive, own) => ({ exposedRatio: divide(own.exposed, naive.exposed) }),
+  },
+  {
+    name: 'exposure after a late drop',
+    site,
+    target: 'exposed <= 0.1x',
+    policies: makePolicies({ ramp: 'gated' }),
+    run: runExposure(site, LATE_DROP_AT_MS),
     compare: (naive, own) => ({ exposedRatio: divide(own.exposed, naive.exposed) }),
   },
   {
--- a/packages/core/src/completion.ts
+++ b/packages/core/src/completion.ts
@@ -82,7 +82,7 @@
   request: requestState.RequestState,
   stamp: events.Stamp,
 ): boolean => {
-  const isInRollout = current.config?.rollouts.has(versionId.getModelName(request.versionId));
+  const isInRollout = current.config?.watched.has(versionId.getModelName(request.versionId));
   const rated = learning.countRatings(current.learning, request.classKey, request.versionId);
   return isInRollout === true || rated < WELL_KNOWN_RATINGS || stamp.random < SAMPLED_RATING_SHARE;
 };
--- a/packages/core/src/configView.ts
+++ b/packages/core/src/configView.ts
@@ -23,6 +23,8 @@
   readonly models: ReadonlyMap<string, shared.lists.Model>;
   readonly versions: ReadonlyMap<versionId.VersionId, VersionInfo>;
   readonly services: ReadonlyMap<string, shared.lists.Service>;
+  /** Roll-outs whose versions are compared: open ones, and finished ones that can be undone. */
+  readonly watched: ReadonlyMap<string, shared.lists.Rollout>;
   /** Roll-outs that are not finished, by model. */
   readonly rollouts: ReadonlyMap<string, shared.lists.Rollout>;
 }
@@ -46,8 +48,20 @@
 export const makeConfigView = (source: shared.lists.Configuration): ConfigView => {
   const versions = source.models.models.flatMap(makeVersionInfos);
   const open = source.models.rollouts.filter((rollout) => rollout.state !== 'finished');
+  const isStable = (rollout: shared.lists.Rollout): boolean =>
+    versions.some(
+      (version) =>
+        version.model === rollout.model &&
+        version.version === rollout.from &&
+        version.state === 'stable',
+    );
+  // Later roll-outs of a model stand behind earlier ones and replace them in the map.
+  const watched = source.models.rollouts.filter(
+    (rollout) => rollout.state !== 'finished' || isStable(rollout),
+  );
   return {
     generation: source.generation,
+    watched: new Map(watched.map((rollout) => [rollout.model, rollout])),
     source,
     customers: indexByName(source.plans.customers),
     customersByKey: new Map(source.plans.customers.map((item) => [item.keyHash, item])),
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -117,9 +117,10 @@
   readonly confirmedAgeMs: number;
 }
 
-/** Cumulative ratings of one version by one customer. */
+/** Ratings of one version by one customer in one epoch. */
 export interface CustomerCounters {
   readonly versionId: versionId.VersionId;
+  readonly epoch: number;
   readonly customer: string;
   readonly good: number;
   readonly bad: number;
--- a/packages/core/src/ratings.ts
+++ b/packages/core/src/ratings.ts
@@ -8,19 +8,38 @@
   readonly bad: number;
 }
 
-/** Ratings of one version, by customer. */
-export type VersionCounts = immutable.Map<string, Counts>;
+/** Ratings of one version in one span of time, by customer. */
+export type CustomerCounts = immutable.Map<string, Counts>;
+
+/** Ratings of one version, by epoch. */
+export type VersionCounts = immutable.Map<number, CustomerCounts>;
+
+/** Ratings of several versions. */
+type CountsTable = immutable.Map<versionId.VersionId, VersionCounts>;
+
+type Rows = readonly events.CustomerCounters[];
 
 /** Ratings of versions in roll-out, merged over routers. */
 export interface RatingsState {
-  /** Counters of this router, by version. */
-  readonly own: immutable.Map<versionId.VersionId, VersionCounts>;
-  /** Last counters of each other source; the last writer of a source wins. */
-  readonly sources: immutable.Map<string, readonly events.CustomerCounters[]>;
+  /** Counters of this router. */
+  readonly own: CountsTable;
+  /** Last rows of each other source, by epoch; the last writer of a source and epoch wins. */
+  readonly sources: immutable.Map<string, immutable.Map<number, Rows>>;
   /** Sum over own and other sources. */
-  readonly totals: immutable.Map<versionId.VersionId, VersionCounts>;
+  readonly totals: CountsTable;
 }
 
+/** Span of one epoch, in milliseconds. */
+export const EPOCH_MS = 10_000;
+/** Epochs kept apart; older ratings are kept as one sum. */
+const MAX_EPOCHS = 30;
+/** Epoch under which the sum of older ratings stands. */
+export const OLDEST_EPOCH = 0;
+/** Epochs told to others: the current one and the one before it. */
+const TOLD_EPOCHS = 2;
+/** Source name of another zone's sums. */
+const ZONE_SOURCE = 'zone:';
+
 const NO_COUNTS: Counts = { good: 0, bad: 0 };
 
 /** Ratings before the first one. */
@@ -30,78 +49,133 @@
   totals: immutable.Map(),
 };
 
-type CountsByVersion = immutable.Map<versionId.VersionId, VersionCounts>;
+/** Returns the epoch of a time. */
+export const findEpoch = (nowMs: number): number => Math.floor(nowMs / EPOCH_MS) + 1;
 
 const addCounts = (
-  table: CountsByVersion,
-  counters: events.CustomerCounters,
+  customers: CustomerCounts,
+  customer: string,
+  counts: Counts,
   sign: 1 | -1,
-): CountsByVersion =>
-  table.update(counters.versionId, immutable.Map<string, Counts>(), (customers) =>
-    customers.update(counters.customer, NO_COUNTS, (known) => ({
-      good: known.good + sign * counters.good,
-      bad: known.bad + sign * counters.bad,
-    })),
+): CustomerCounts =>
+  customers.update(customer, NO_COUNTS, (known) => ({
+    good: known.good + sign * counts.good,
+    bad: known.bad + sign * counts.bad,
+  }));
+
+const addRow = (table: CountsTable, row: events.CustomerCounters, sign: 1 | -1): CountsTable =>
+  table.update(row.versionId, immutable.Map(), (epochs) =>
+    epochs.update(row.epoch, immutable.Map(), (customers) =>
+      addCounts(customers, row.customer, row, sign),
+    ),
   );
 
+const addRows = (table: CountsTable, rows: Rows, sign: 1 | -1): CountsTable =>
+  rows.reduce((next, row) => addRow(next, row, sign), table);
+
 /** Adds one rating by a customer. */
 export const addRating = (
   ratings: RatingsState,
   id: versionId.VersionId,
   customer: string,
   isGood: boolean,
+  nowMs: number,
 ): RatingsState => {
-  const counters = { versionId: id, customer, good: isGood ? 1 : 0, bad: isGood ? 0 : 1 };
+  const row = {
+    versionId: id,
+    epoch: findEpoch(nowMs),
+    customer,
+    good: Number(isGood),
+    bad: Number(!isGood),
+  };
   return {
     ...ratings,
-    own: addCounts(ratings.own, counters, 1),
-    totals: addCounts(ratings.totals, counters, 1),
+    own: addRow(ratings.own, row, 1),
+    totals: addRow(ratings.totals, row, 1),
   };
 };
 
-/** Replaces what another source last told. */
-export const mergeSource = (
+const replaceEpoch = (
   ratings: RatingsState,
   source: string,
-  counters: readonly events.CustomerCounters[],
+  epoch: number,
+  rows: Rows,
 ): RatingsState => {
-  const previous = ratings.sources.get(source, []);
-  const without = previous.reduce((table, row) => addCounts(table, row, -1), ratings.totals);
+  const known = ratings.sources.get(source, immutable.Map<number, Rows>());
+  const without = addRows(ratings.totals, known.get(epoch, []), -1);
   return {
     ...ratings,
-    sources: ratings.sources.set(source, counters),
-    totals: counters.reduce((table, row) => addCounts(table, row, 1), without),
+    sources: ratings.sources.set(source, known.set(epoch, rows)),
+    totals: addRows(without, rows, 1),
+  };
+};
+
+/** Replaces what another source last told of the epochs that its rows name. */
+export const mergeSource = (ratings: RatingsState, source: string, rows: Rows): RatingsState =>
+  immutable
+    .List(rows)
+    .groupBy((row) => row.epoch)
+    .reduce((next, group, epoch) => replaceEpoch(next, source, epoch, group.toArray()), ratings);
+
+const foldOld = (epochs: VersionCounts, firstKept: number): VersionCounts => {
+  const old = epochs.filter((_, epoch) => epoch < firstKept);
+  if (old.size <= 1) {
+    return epochs;
+  }
+  const folded = old
+    .valueSeq()
+    .reduce<CustomerCounts>(
+      (sum, customers) =>
+        customers.reduce((next, counts, customer) => addCounts(next, customer, counts, 1), sum),
+      immutable.Map(),
+    );
+  return epochs.filter((_, epoch) => epoch >= firstKept).set(OLDEST_EPOCH, folded);
+};
+
+/** Keeps the number of epochs bounded; rows of folded epochs are final. */
+export const foldOldEpochs = (ratings: RatingsState, nowMs: number): RatingsState => {
+  const firstKept = findEpoch(nowMs) - MAX_EPOCHS;
+  return {
+    own: ratings.own.map((epochs) => foldOld(epochs, firstKept)),
+    sources: ratings.sources
+      .map((epochs) => epochs.filter((_, epoch) => epoch >= firstKept))
+      .filter((epochs) => epochs.size > 0),
+    totals: ratings.totals.map((epochs) => foldOld(epochs, firstKept)),
   };
 };
 
-const listCounters = (table: CountsByVersion): readonly events.CustomerCounters[] =>
+const listRows = (table: CountsTable, fromEpoch: number): Rows =>
   table
     .entrySeq()
-    .flatMap(([id, customers]) =>
-      customers.entrySeq().map(([customer, counts]) => ({ versionId: id, customer, ...counts })),
+    .flatMap(([id, epochs]) =>
+      epochs
+        .filter((_, epoch) => epoch >= fromEpoch)
+        .entrySeq()
+        .flatMap(([epoch, customers]) =>
+          customers
+            .entrySeq()
+            .map(([customer, counts]) => ({ versionId: id, epoch, customer, ...counts })),
+        ),
     )
     .toArray();
 
-/** Lists this router's counters in a form that peers can merge. */
-export const listOwnCounters = (ratings: RatingsState): readonly events.CustomerCounters[] =>
-  listCounters(ratings.own);
+const findFirstTold = (nowMs: number): number => findEpoch(nowMs) - TOLD_EPOCHS + 1;
 
-/** Source name of another zone's sums. */
-const ZONE_SOURCE = 'zone:';
+/** Lists this router's counters of the latest epochs. */
+export const listOwnCounters = (ratings: RatingsState, nowMs: number): Rows =>
+  listRows(ratings.own, findFirstTold(nowMs));
 
-/** Lists the sums over this router's zone, in a form that other zones can merge. */
-export const listZoneCounters = (ratings: RatingsState): readonly events.CustomerCounters[] => {
-  const rows = ratings.sources
+/** Lists the sums over this router's zone of the latest epochs, for other zones. */
+export const listZoneCounters = (ratings: RatingsState, nowMs: number): Rows => {
+  const firstTold = findFirstTold(nowMs);
+  const told = ratings.sources
     .filter((_, source) => !source.startsWith(ZONE_SOURCE))
     .valueSeq()
-    .flatMap((counters) => counters)
+    .flatMap((epochs) => epochs.valueSeq().flatMap((rows) => rows))
+    .filter((row) => row.epoch >= firstTold)
     .toArray();
-  const own = listOwnCounters(ratings);
-  const summed = [...own, ...rows].reduce(
-    (table, row) => addCounts(table, row, 1),
-    immutable.Map<versionId.VersionId, VersionCounts>(),
-  );
-  return listCounters(summed);
+  const own = listOwnCounters(ratings, nowMs);
+  return listRows(addRows(immutable.Map(), [...own, ...told], 1), firstTold);
 };
 
 /** Returns the merged counts of a version. */
@@ -109,18 +183,41 @@
   ratings.totals.get(id, immutable.Map());
 
 /** Sums counts over customers. */
-export const sumCounts = (customers: VersionCounts): Counts =>
+export const sumCustomers = (customers: CustomerCounts): Counts =>
   customers.reduce(
     (sum, counts) => ({ good: sum.good + counts.good, bad: sum.bad + counts.bad }),
     NO_COUNTS,
   );
 
+/** Sums counts over epochs and customers. */
+export const sumCounts = (epochs: VersionCounts): Counts =>
+  epochs
+    .valueSeq()
+    .map(sumCustomers)
+    .reduce(
+      (sum, counts) => ({ good: sum.good + counts.good, bad: sum.bad + counts.bad }),
+      NO_COUNTS,
+    );
+
+/** Sums counts by customer over the epochs from one on. */
+export const sumSince = (epochs: VersionCounts, fromEpoch: number): CustomerCounts =>
+  epochs
+    .filter((_, epoch) => epoch >= fromEpoch)
+    .valueSeq()
+    .reduce<CustomerCounts>(
+      (sum, customers) =>
+        customers.reduce((next, counts, customer) => addCounts(next, customer, counts, 1), sum),
+      immutable.Map(),
+    );
+
 /** Drops counters of versions that no roll-out names any more. */
 export const forgetVersions = (
   ratings: RatingsState,
   isWatched: (id: versionId.VersionId) => boolean,
 ): RatingsState => ({
   own: ratings.own.filter((_, id) => isWatched(id)),
-  sources: ratings.sources.map((rows) => rows.filter((row) => isWatched(row.versionId))),
+  sources: ratings.sources.map((epochs) =>
+    epochs.map((rows) => rows.filter((row) => isWatched(row.versionId))),
+  ),
   totals: ratings.totals.filter((_, id) => isWatched(id)),
 });
--- a/packages/core/src/rolloutState.ts
+++ b/packages/core/src/rolloutState.ts
@@ -2,6 +2,9 @@
 export interface RolloutState {
   readonly to: string;
   readonly step: number;
+  /** Epochs in which the roll-out and its present step were first seen. */
+  readonly firstEpoch: number;
+  readonly stepEpoch: number;
   /** Time the step was first seen, in milliseconds. */
   readonly stepSinceMs: number;
   /** Candidate ratings merged over routers when the step was first seen. */
@@ -19,9 +22,12 @@
   step: number,
   nowMs: number,
   rated: number,
+  epoch: number,
 ): RolloutState => ({
   to,
   step,
+  firstEpoch: epoch,
+  stepEpoch: epoch,
   stepSinceMs: nowMs,
   ratedAtStep: rated,
   unrated: 0,
--- a/packages/core/src/rollouts.ts
+++ b/packages/core/src/rollouts.ts
@@ -20,6 +20,8 @@
 const MIN_RATINGS_PER_STEP = 30;
 /** Shortest time at a step, in milliseconds. */
 const MIN_STEP_MS = 5_000;
+/** Part of an epoch in which ticks fold old epochs, in milliseconds. */
+const FOLD_SPAN_MS = 500;
 /** Time at a step of the fixed baseline ramp, in milliseconds. */
 const FIXED_STEP_MS = 30_000;
 
@@ -64,12 +66,15 @@
     return known;
   }
   const rated = countRated(current, versionId.makeVersionId(rollout.model, rollout.to));
-  const fresh = rolloutState.makeRollout(rollout.to, rollout.step, nowMs, rated);
-  return known?.to === rollout.to ? { ...fresh, unrated: known.unrated } : fresh;
+  const epoch = ratings.findEpoch(nowMs);
+  const fresh = rolloutState.makeRollout(rollout.to, rollout.step, nowMs, rated, epoch);
+  return known?.to === rollout.to
+    ? { ...fresh, unrated: known.unrated, firstEpoch: known.firstEpoch }
+    : fresh;
 };
 
 const isWatched = (config: configView.ConfigView, id: versionId.VersionId): boolean => {
-  const rollout = config.rollouts.get(versionId.getModelName(id));
+  const rollout = config.watched.get(versionId.getModelName(id));
   return (
     rollout !== undefined &&
     [rollout.from, rollout.to].some(
@@ -102,13 +107,13 @@
     (id) => isWatched(config, id) && !restarted.includes(id),
   );
   const next = { ...current, ratings: kept };
-  const open = Array.from(config.rollouts.values());
+  const watched = Array.from(config.watched.values());
   return {
     ...next,
     alarms: current.alarms.filter((id) => config.versions.has(id) && !restarted.includes(id)),
     rollouts: next.rollouts
-      .filter((_, model) => config.rollouts.has(model))
-      .merge(open.map((rollout) => [rollout.model, adoptRollout(next, rollout, nowMs)])),
+      .filter((_, model) => config.watched.has(model))
+      .merge(watched.map((rollout) => [rollout.model, adoptRollout(next, rollout, nowMs)])),
   };
 };
 
@@ -207,22 +212,24 @@
   }
   const stable = versionId.makeVersionId(rollout.model, rollout.from);
   const candidate = versionId.makeVersionId(rollout.model, rollout.to);
-  const verdict = sequentialTest.compareVersions(
-    ratings.getVersionCounts(current.ratings, stable),
-    ratings.getVersionCounts(current.ratings, candidate),
-  );
+  const verdict = sequentialTest.compareVersions({
+    stable: ratings.getVersionCounts(current.ratings, stable),
+    candidate: ratings.getVersionCounts(current.ratings, candidate),
+    firstEpoch: progress.firstEpoch,
+    stepEpoch: progress.stepEpoch,
+  });
   return VERDICT_HANDLERS[verdict](current, rollout, progress, nowMs);
 };
 
 const judgeModel = (current: routerState.RouterState, model: string, nowMs: number): step.Step => {
-  const rollout = current.config?.rollouts.get(model);
+  const rollout = current.config?.watched.get(model);
   return rollout === undefined || current.policy.ramp === 'fixed'
     ? step.makeStep(current)
     : judgeRollout(current, rollout, nowMs);
 };
 
 const judgeAll = (current: routerState.RouterState, nowMs: number): step.Step =>
-  Array.from(current.config?.rollouts.keys() ?? []).reduce(
+  Array.from(current.config?.watched.keys() ?? []).reduce(
     (done, model) => step.chainStep(done, (next) => judgeModel(next, model, nowMs)),
     step.makeStep(current),
   );
@@ -241,10 +248,15 @@
   return isDue ? proposeChange(current, rollout, progress, 'advance') : step.makeStep(current);
 };
 
+/** Folding is needed once an epoch, and a tick is far shorter. */
+const foldIfDue = (known: ratings.RatingsState, nowMs: number): ratings.RatingsState =>
+  nowMs % ratings.EPOCH_MS < FOLD_SPAN_MS ? ratings.foldOldEpochs(known, nowMs) : known;
+
 /** Fades unrated answers and, on the fixed baseline ramp, advances by time alone. */
 export const tickRollouts = (current: routerState.RouterState, nowMs: number): step.Step => {
   const faded = {
     ...current,
+    ratings: foldIfDue(current.ratings, nowMs),
     rollouts: current.rollouts.map((progress) => fadeUnrated(progress, nowMs)),
   };
   if (current.policy.ramp === 'gated') {
@@ -280,7 +292,7 @@
   }
   const counted = {
     ...changeUnrated(learned, rated.versionId, -1),
-    ratings: ratings.addRating(learned.ratings, rated.versionId, rated.customer, isGood),
+    ratings: ratings.addRating(learned.ratings, rated.versionId, rated.customer, isGood, nowMs),
   };
   return judgeModel(counted, versionId.getModelName(rated.versionId), nowMs);
 };
--- a/packages/core/src/sequentialTest.ts
+++ b/packages/core/src/sequentialTest.ts
@@ -3,6 +3,16 @@
 /** Verdict of the test on a candidate version. */
 export type Verdict = 'worse' | 'notWorse' | 'undecided';
 
+/** What the test looks at. */
+export interface TestQuery {
+  readonly stable: ratings.VersionCounts;
+  readonly candidate: ratings.VersionCounts;
+  /** Epoch in which the roll-out began. */
+  readonly firstEpoch: number;
+  /** Epoch in which the present step began. */
+  readonly stepEpoch: number;
+}
+
 /** Chance that a candidate as good as the stable version is ever called worse. */
 export const FALSE_ALARM_RATE = 0.001;
 /** Drop in the share of good answers that is tolerated. */
@@ -15,11 +25,19 @@
 const BASELINE_PRIOR = { good: 8, bad: 2 } as const;
 const MIN_SHARE = 0.1;
 const MAX_SHARE = 0.99;
-
-/** Largest weight of one customer's ratings, so that at least two must agree on a verdict. */
-const CUSTOMER_CAP = Math.log(1 / FALSE_ALARM_RATE) / 2;
+/** Sum of 1/n² over all n, by which the false-alarm rate is shared out over starting epochs. */
+const BASEL_SUM = Math.PI ** 2 / 6;
+/** Largest weight of one customer in a verdict that lets a candidate pass. */
+const PASS_CUSTOMER_CAP = Math.log(1 / FALSE_ALARM_RATE) / 2;
 /** Log-likelihood ratio below which the candidate passes a gate; one customer cannot reach it. */
-const PASS_RATIO = -(CUSTOMER_CAP + 1);
+const PASS_RATIO = -(PASS_CUSTOMER_CAP + 1);
+
+interface Hypotheses {
+  /** Share of good answers that is still accepted. */
+  readonly accepted: number;
+  /** Share of good answers that is rejected. */
+  readonly rejected: number;
+}
 
 const clamp = (value: number, low: number, high: number): number =>
   Math.min(high, Math.max(low, value));
@@ -33,36 +51,59 @@
   return clamp(share - margin - TOLERATED_DROP, MIN_SHARE + DETECTED_DROP, MAX_SHARE);
 };
 
-const computeRatio = (counts: ratings.Counts, accepted: number, rejected: number): number =>
+const computeRatio = (counts: ratings.Counts, { accepted, rejected }: Hypotheses): number =>
   counts.good * Math.log(rejected / accepted) +
   counts.bad * Math.log((1 - rejected) / (1 - accepted));
 
+const sumCapped = (
+  customers: ratings.CustomerCounts,
+  hypotheses: Hypotheses,
+  cap: number,
+): number =>
+  customers
+    .valueSeq()
+    .map((counts) => clamp(computeRatio(counts, hypotheses), -cap, cap))
+    .reduce((sum, ratio) => sum + ratio, 0);
+
 /**
- * Alarm bound on the sum of capped ratios. Each capped likelihood ratio is at most the ratio plus
- * the floor, and the product of these over customers is a non-negative supermartingale, so by
- * Ville's inequality the bound keeps the false-alarm rate at any time the test is looked at.
+ * Tests the ratings since one epoch. The error rate of the n-th starting epoch is its share of the
+ * whole, as 1/n². A customer's ratio is capped so that at least two must agree; each capped
+ * likelihood ratio is at most the ratio plus the floor, and the product of these over customers is
+ * a non-negative supermartingale, so by Ville's inequality the bound holds whenever it is looked at.
  */
-const computeAlarmBound = (customerCount: number): number =>
-  Math.log(1 / FALSE_ALARM_RATE) + customerCount * Math.log1p(Math.exp(-CUSTOMER_CAP));
+const isWorseSince = (
+  customers: ratings.CustomerCounts,
+  hypotheses: Hypotheses,
+  startIndex: number,
+): boolean => {
+  const base = Math.log((BASEL_SUM * startIndex ** 2) / FALSE_ALARM_RATE);
+  const cap = (base + 1) / 2;
+  const bound = base + customers.size * Math.log1p(Math.exp(-cap));
+  return sumCapped(customers, hypotheses, cap) >= bound;
+};
+
+const findHypotheses = (stable: ratings.VersionCounts): Hypotheses => {
+  const accepted = estimateBaseline(ratings.sumCounts(stable));
+  return { accepted, rejected: accepted - DETECTED_DROP };
+};
 
 /**
- * Sequential probability-ratio test of a candidate against the stable version.
- * It may be evaluated after every rating without raising the false-alarm rate.
+ * Sequential probability-ratio test of a candidate against the stable version, for a drop that may
+ * begin in any epoch. It may be evaluated after every rating without raising the false-alarm rate.
  */
-export const compareVersions = (
-  stable: ratings.VersionCounts,
-  candidate: ratings.VersionCounts,
-): Verdict => {
-  const accepted = estimateBaseline(ratings.sumCounts(stable));
-  const rejected = accepted - DETECTED_DROP;
-  const ratios = candidate
-    .valueSeq()
-    .map((counts) => computeRatio(counts, accepted, rejected))
-    .toArray();
-  const capped = ratios.map((ratio) => clamp(ratio, -CUSTOMER_CAP, CUSTOMER_CAP));
-  const sum = capped.reduce((total, ratio) => total + ratio, 0);
-  if (sum >= computeAlarmBound(ratios.length)) {
+export const compareVersions = (query: TestQuery): Verdict => {
+  const hypotheses = findHypotheses(query.stable);
+  const starts = Array.from(query.candidate.keys());
+  const isWorse = starts.some((epoch) =>
+    isWorseSince(
+      ratings.sumSince(query.candidate, epoch),
+      hypotheses,
+      Math.max(1, epoch - query.firstEpoch + 1),
+    ),
+  );
+  if (isWorse) {
     return 'worse';
   }
-  return sum <= PASS_RATIO ? 'notWorse' : 'undecided';
+  const inStep = ratings.sumSince(query.candidate, query.stepEpoch);
+  return sumCapped(inStep, hypotheses, PASS_CUSTOMER_CAP) <= PASS_RATIO ? 'notWorse' : 'undecided';
 };
--- a/packages/platform/src/rolloutEdits.ts
+++ b/packages/platform/src/rolloutEdits.ts
@@ -121,11 +121,18 @@
   return shared.outcome.makeOk({ ...candidate, rollouts: [...others, rollout] });
 };
 
+/** A finished roll-out can still be halted while its former version is there to return to. */
 const haltRollout = (models: Models, target: RolloutTarget): Edited => {
-  const edited = replaceRollout(models, target, { state: 'halted' });
-  return edited.ok
-    ? shared.outcome.makeOk(setVersionState(edited.value, target, 'withdrawn'))
-    : edited;
+  const known = models.rollouts.findLast(
+    (rollout) => rollout.model === target.model && rollout.to === target.version,
+  );
+  if (known === undefined || known.state === 'halted') {
+    return shared.outcome.makeFailed(`no roll-out of ${target.model} to ${target.version}`);
+  }
+  const rollouts = models.rollouts.map((rollout) =>
+    rollout === known ? { ...rollout, state: 'halted' as const } : rollout,
+  );
+  return shared.outcome.makeOk(setVersionState({ ...models, rollouts }, target, 'withdrawn'));
 };
 
 const withdrawVersion = (models: Models, target: RolloutTarget): Edited => {
--- a/packages/router/src/peers/peerService.ts
+++ b/packages/router/src/peers/peerService.ts
@@ -93,7 +93,7 @@
   };
   const pushZoneRatings = (): void => {
     const { members, ratings } = node.getState();
-    const counters = core.ratings.listZoneCounters(ratings);
+    const counters = core.ratings.listZoneCounters(ratings, Date.now());
     if (counters.length === 0) {
       return;
     }
@@ -108,7 +108,7 @@
   };
   const pushRatings = (): void => {
     const { members, ratings } = node.getState();
-    const counters = core.ratings.listOwnCounters(ratings);
+    const counters = core.ratings.listOwnCounters(ratings, Date.now());
     const { zone, id } = members.self;
     const [aggregator] = core.duties.listHolders(members, 'ratingAggregator', zone, 1);
     if (aggregator !== undefined && aggregator.id !== id && counters.length > 0) {
