--- /dev/null
+++ b/packages-private/measure/__tests__/policyTargets.spec.ts
@@ -0,0 +1,37 @@
+import test from 'ava';
+import * as core from '@jayrock/core';
+import * as scenarios from '../src/policy/scenarios.js';
+
+const SEED = 1;
+
+/** Bounds from the project's stated targets, by scenario and figure. */
+const TARGETS: Readonly<
+  Record<string, Readonly<Record<string, { readonly min?: number; readonly max?: number }>>>
+> = {
+  'cost at the quality target': { costRatio: { max: 0.5 }, quality: { min: 0.8 } },
+  'exposure to a bad version': { exposedRatio: { max: 0.1 } },
+  'exposure after a late drop': { exposedRatio: { max: 0.1 } },
+  'service at the crest': { servedRatio: { min: 1.5 }, ofCapacity: { min: 0.95 } },
+  'short work behind long': { shortRatio: { max: 0.1 }, longRatio: { max: 1.3 } },
+  'tail with stragglers': { p99Ratio: { max: 1.3 }, hedgeShare: { max: 0.03 } },
+};
+
+scenarios.SCENARIOS.forEach((scenario) => {
+  test(`${scenario.site}: ${scenario.name} meets ${scenario.target}`, (t) => {
+    const naive = scenario.run(core.policy.NAIVE_POLICY, SEED);
+    const own = scenario.run(core.policy.DEFAULT_POLICY, SEED);
+    const compared = scenario.compare(naive, own);
+    const targets = Object.entries(TARGETS[scenario.name] ?? {});
+    t.true(targets.length > 0);
+    targets.forEach(([figure, { min = -Infinity, max = Infinity }]) => {
+      const value = compared[figure] ?? NaN;
+      t.true(value >= min && value <= max, `${figure} is ${value}, expected ${min} to ${max}`);
+    });
+  });
+});
+
+test('the same seed gives the same figures', (t) => {
+  const [scenario] = scenarios.SCENARIOS;
+  const run = (): scenarios.Figures | undefined => scenario?.run(core.policy.DEFAULT_POLICY, SEED);
+  t.deepEqual(run(), run());
+});
--- /dev/null
+++ b/packages/core/__tests__/claimBook.spec.ts
@@ -0,0 +1,172 @@
+import test from 'ava';
+import * as fc from 'fast-check';
+import * as core from '../src/index.js';
+import * as fixtures from './fixtures.js';
+
+const BUCKET = 7;
+
+type Operation = core.claimLog.ClaimOperation;
+
+const makeClaim = (id: string, token: string): Operation => ({ kind: 'claim', id, token });
+
+const sendClaim = (driver: fixtures.Driver, operation: Operation): readonly core.effects.Effect[] =>
+  driver.send({ type: 'claimRequested', bucket: BUCKET, operation });
+
+const load = (
+  driver: fixtures.Driver,
+  segments: readonly (readonly Operation[])[] | null,
+): readonly core.effects.Effect[] =>
+  driver.send({ type: 'claimLogLoaded', bucket: BUCKET, segments });
+
+const settleWrite = (
+  driver: fixtures.Driver,
+  result: core.events.EventBodies['claimSegmentWritten']['result'],
+): readonly core.effects.Effect[] =>
+  driver.send({ type: 'claimSegmentWritten', bucket: BUCKET, result });
+
+const pickResults = (effects: readonly core.effects.Effect[]): Readonly<Record<string, string>> =>
+  Object.fromEntries(
+    fixtures.pickEffects(effects, 'answerClaim').map((effect) => [effect.token, effect.result]),
+  );
+
+test('claims that wait are written together, and only the first of an id is granted', (t) => {
+  const driver = fixtures.makeDriver();
+  sendClaim(driver, makeClaim('a', 't1'));
+  sendClaim(driver, makeClaim('a', 't2'));
+  sendClaim(driver, makeClaim('b', 't3'));
+  const [write] = fixtures.pickEffects(load(driver, []), 'writeClaimSegment');
+  t.is(write?.operations.length, 3);
+  t.is(write?.segment, 0);
+  t.deepEqual(pickResults(settleWrite(driver, 'committed')), {
+    t1: 'granted',
+    t2: 'mayHaveRun',
+    t3: 'granted',
+  });
+});
+
+test('a writer that lost the tail judges its claims by what the other wrote', (t) => {
+  const driver = fixtures.makeDriver();
+  sendClaim(driver, makeClaim('a', 'mine'));
+  load(driver, []);
+  const [again] = fixtures.pickEffects(settleWrite(driver, 'conflict'), 'loadClaimLog');
+  t.is(again?.fromSegment, 0);
+  t.deepEqual(pickResults(load(driver, [[makeClaim('a', 'theirs')]])), { mine: 'mayHaveRun' });
+});
+
+test('a lost answer after a landed write is settled as granted', (t) => {
+  const driver = fixtures.makeDriver();
+  sendClaim(driver, makeClaim('a', 'mine'));
+  load(driver, []);
+  settleWrite(driver, 'unknown');
+  t.deepEqual(pickResults(load(driver, [[makeClaim('a', 'mine')]])), { mine: 'granted' });
+});
+
+test('the record of an answer is not written again once it stands in the log', (t) => {
+  const driver = fixtures.makeDriver();
+  const answer = { status: 200, contentType: 'text/plain', body: 'done' };
+  const record: Operation = { kind: 'answer', id: 'a', token: 'mine', answer };
+  sendClaim(driver, record);
+  load(driver, [[makeClaim('a', 'mine')]]);
+  settleWrite(driver, 'unknown');
+  const effects = load(driver, [[record]]);
+  t.is(fixtures.pickEffects(effects, 'writeClaimSegment').length, 0);
+  const resend = sendClaim(driver, makeClaim('a', 'again'));
+  t.is(fixtures.pickEffects(resend, 'armClaimTimer').length, 1);
+  const [replayed] = fixtures.pickEffects(
+    driver.send({ type: 'claimTimerFired', bucket: BUCKET }),
+    'answerClaim',
+  );
+  t.is(replayed?.result, 'answered');
+  t.deepEqual(replayed?.answer, answer);
+});
+
+test('claims are told "unavailable" when the store fails twice', (t) => {
+  const driver = fixtures.makeDriver();
+  sendClaim(driver, makeClaim('a', 'mine'));
+  t.is(fixtures.pickEffects(load(driver, null), 'loadClaimLog').length, 1);
+  t.deepEqual(pickResults(load(driver, null)), { mine: 'unavailable' });
+});
+
+/** A store that keeps segments, and writers whose answers may be lost or come late. */
+interface Shared {
+  readonly segments: (readonly Operation[])[];
+}
+
+type Disturbance = 'none' | 'loseAnswer' | 'refuse' | 'pause';
+
+const writeShared = (
+  store: Shared,
+  segment: number,
+  operations: readonly Operation[],
+  disturbance: Disturbance,
+): core.events.EventBodies['claimSegmentWritten']['result'] => {
+  if (disturbance === 'refuse') {
+    return 'refused';
+  }
+  const isFree = store.segments.length === segment;
+  if (isFree) {
+    store.segments.push(operations);
+  }
+  if (disturbance === 'loseAnswer') {
+    return 'unknown';
+  }
+  return isFree ? 'committed' : 'conflict';
+};
+
+test('two owners with lost answers and pauses never grant an id twice', (t) => {
+  const steps = fc.array(
+    fc.record({
+      owner: fc.nat(1),
+      id: fc.nat(5),
+      kind: fc.constantFrom<'claim' | 'step'>('claim', 'step', 'step'),
+      disturbance: fc.constantFrom<Disturbance>('none', 'none', 'loseAnswer', 'refuse', 'pause'),
+    }),
+    { minLength: 10, maxLength: 120 },
+  );
+  fc.assert(
+    fc.property(steps, (history) => {
+      const store: Shared = { segments: [] };
+      const owners = [fixtures.makeDriver(), fixtures.makeDriver()];
+      const open: core.effects.Effect[][] = [[], []];
+      const granted = new Map<string, string[]>();
+      const tokens = new Map<string, string>();
+      const take = (owner: number, effects: readonly core.effects.Effect[]): void => {
+        open[owner]?.push(...effects);
+        fixtures
+          .pickEffects(effects, 'answerClaim')
+          .filter((effect) => effect.result === 'granted')
+          .forEach(({ token }) => {
+            const id = tokens.get(token) ?? '';
+            granted.set(id, [...(granted.get(id) ?? []), token]);
+          });
+      };
+      history.forEach(({ owner, id, kind, disturbance }, index) => {
+        const driver = owners[owner];
+        if (driver === undefined) {
+          return;
+        }
+        if (kind === 'claim') {
+          const token = `t${index}`;
+          tokens.set(token, `id${id}`);
+          take(owner, sendClaim(driver, makeClaim(`id${id}`, token)));
+          return;
+        }
+        const next = open[owner]?.shift();
+        if (next === undefined || disturbance === 'pause') {
+          open[owner]?.unshift(...(next === undefined ? [] : [next]));
+        } else if (next.type === 'loadClaimLog') {
+          const segments = disturbance === 'refuse' ? null : store.segments.slice(next.fromSegment);
+          take(owner, load(driver, segments));
+        } else if (next.type === 'writeClaimSegment') {
+          const result = writeShared(store, next.segment, next.operations, disturbance);
+          take(owner, settleWrite(driver, result));
+        } else if (next.type === 'armClaimTimer') {
+          take(owner, driver.send({ type: 'claimTimerFired', bucket: BUCKET }));
+        }
+      });
+      return Array.from(granted.values()).every((list) => list.length === 1);
+    }),
+    { seed: 20_261_204, numRuns: 400 },
+  );
+  t.pass();
+});
--- /dev/null
+++ b/packages/core/__tests__/invariants.spec.ts
@@ -0,0 +1,366 @@
+import test from 'ava';
+import * as fc from 'fast-check';
+import type * as shared from '@jayrock/shared';
+import * as core from '../src/index.js';
+import * as fixtures from './fixtures.js';
+import * as worlds from './world.js';
+
+/** One step of a random history; numbers pick among what is possible then. */
+interface Move {
+  readonly kind:
+    | 'arrive'
+    | 'call'
+    | 'first'
+    | 'end'
+    | 'fail'
+    | 'repeat'
+    | 'witness'
+    | 'claim'
+    | 'rate'
+    | 'leave'
+    | 'config'
+    | 'hosts'
+    | 'wait'
+    | 'evidence';
+  readonly pick: number;
+  readonly flag: boolean;
+}
+
+const moves = fc.array(
+  fc.record({
+    kind: fc.constantFrom<Move['kind']>(
+      'arrive',
+      'arrive',
+      'arrive',
+      'call',
+      'call',
+      'first',
+      'first',
+      'end',
+      'end',
+      'fail',
+      'repeat',
+      'witness',
+      'witness',
+      'claim',
+      'claim',
+      'rate',
+      'leave',
+      'config',
+      'hosts',
+      'wait',
+      'evidence',
+    ),
+    pick: fc.nat(1_000),
+    flag: fc.boolean(),
+  }),
+  { minLength: 20, maxLength: 160 },
+);
+
+const FAILURES: readonly core.events.AttemptFailure[] = [
+  'unreachable',
+  'crashed',
+  'silent',
+  'failed',
+  'busy',
+  'garbage',
+  'incomplete',
+];
+const CUSTOMERS = ['ada', 'ben', 'cleo'] as const;
+const STEP_MS = 40;
+
+const pickOne = <T>(items: readonly T[], pick: number): T | undefined =>
+  items[pick % Math.max(1, items.length)];
+
+/** Configurations that differ in which version is withdrawn. */
+const makeVariant = (pick: number, generation: number): shared.lists.Configuration => {
+  const base = fixtures.makeConfiguration({}, generation);
+  const states = ['stable', 'candidate', 'withdrawn'] as const;
+  const models = base.models.models.map((model, index) => ({
+    ...model,
+    versions: model.versions.map((version, place) => ({
+      ...version,
+      state: place === 0 && pick % 3 === index ? ('withdrawn' as const) : version.state,
+    })),
+  }));
+  const second = states[pick % states.length] ?? 'stable';
+  const changed = models.map((model) => ({
+    ...model,
+    versions: model.versions.map((version) =>
+      version.name === 'v2' ? { ...version, state: second } : version,
+    ),
+  }));
+  return { ...base, models: { ...base.models, models: changed } };
+};
+
+interface Run {
+  readonly world: worlds.World;
+  readonly customers: ReadonlyMap<string, string>;
+  readonly configurations: ReadonlyMap<number, shared.lists.Configuration>;
+  readonly unsent: ReadonlySet<string>;
+  readonly unrepeatable: ReadonlySet<string>;
+}
+
+const runHistory = (history: readonly Move[], policy = core.policy.DEFAULT_POLICY): Run => {
+  const first = fixtures.makeConfiguration();
+  const driver = fixtures.makeReadyDriver(policy, first);
+  const world = worlds.makeWorld(driver);
+  const customers = new Map<string, string>();
+  const configurations = new Map([[1, first]]);
+  const unsent = new Set<string>();
+  const unrepeatable = new Set<string>();
+  const past: core.events.EventBody[] = [];
+  let nowMs = 0;
+  const send = (event: core.events.EventBody): void => {
+    past.push(event);
+    world.send(event, nowMs);
+  };
+  const arrive = (shape: core.requestState.RequestShape, pick: number): void => {
+    const requestId = `q${customers.size}`;
+    const customer = CUSTOMERS[Math.floor(pick / 3) % CUSTOMERS.length] ?? 'ada';
+    customers.set(requestId, customer);
+    if (shape.path === '/issue') {
+      unrepeatable.add(requestId);
+    }
+    send({ type: 'requestArrived', requestId, customer, shape, pin: null, session: null });
+  };
+  const handlers: Readonly<Record<Move['kind'], (move: Move) => void>> = {
+    arrive: ({ pick, flag }) =>
+      arrive(
+        fixtures.makeShape({
+          target: ['small', 'large', 'auto'][pick % 3] ?? 'auto',
+          streaming: flag,
+          tokensIn: pick * 3,
+          fingerprint: `f${pick % 20}`,
+        }),
+        pick,
+      ),
+    call: ({ pick, flag }) =>
+      arrive(
+        fixtures.makeShape({ kind: 'call', target: 'orders', path: flag ? '/issue' : '/find' }),
+        pick,
+      ),
+    first: ({ pick }) => {
+      const found = pickOne(world.getLive(), pick);
+      if (found !== undefined) {
+        send({ type: 'attemptFirstToken', requestId: found.requestId, attemptId: found.attemptId });
+      }
+    },
+    end: ({ pick }) => {
+      const found = pickOne(world.getLive(), pick);
+      if (found !== undefined) {
+        const { requestId, attemptId } = found;
+        send({ type: 'attemptEnded', requestId, attemptId, tokensOut: pick, isBilled: true });
+      }
+    },
+    fail: ({ pick, flag }) => {
+      const found = pickOne(world.getLive(), pick);
+      const failure = FAILURES[pick % FAILURES.length] ?? 'failed';
+      if (found !== undefined) {
+        const isUnsent = failure === 'unreachable' && flag;
+        if (isUnsent) {
+          unsent.add(`${found.requestId}/${found.attemptId}`);
+        }
+        const { requestId, attemptId } = found;
+        send({ type: 'attemptFailed', requestId, attemptId, failure, isUnsent, tokensRelayed: 0 });
+      }
+    },
+    // A late or duplicated event: something that was already said once.
+    repeat: ({ pick }) => {
+      const again = pickOne(
+        past.filter((event) => event.type !== 'requestArrived' && event.type !== 'claimSettled'),
+        pick,
+      );
+      if (again !== undefined) {
+        world.send(again, nowMs);
+      }
+    },
+    witness: ({ pick }) => {
+      const requestId = pickOne(world.getAwaitedWitnesses(), pick);
+      if (requestId !== undefined) {
+        send({ type: 'entryWitnessed', requestId });
+      }
+    },
+    claim: ({ pick }) => {
+      const requestId = pickOne(world.getAwaitedClaims(), pick);
+      const results = ['granted', 'granted', 'mayHaveRun', 'unavailable', 'answered'] as const;
+      if (requestId !== undefined) {
+        const result = results[pick % results.length] ?? 'granted';
+        send({ type: 'claimSettled', requestId, result });
+      }
+    },
+    rate: ({ pick }) => {
+      const requestId = pickOne(world.getHeldAnswers(), pick);
+      if (requestId !== undefined) {
+        send({ type: 'answerRated', requestId, score: [0, 1, null][pick % 3] ?? null });
+      }
+    },
+    leave: ({ pick }) => {
+      const requestId = pickOne(Array.from(customers.keys()), pick);
+      if (requestId !== undefined) {
+        send({ type: 'callerGone', requestId });
+      }
+    },
+    config: ({ pick }) => {
+      const generation = configurations.size + 1;
+      const configuration = makeVariant(pick, generation);
+      configurations.set(generation, configuration);
+      send({ type: 'configAdopted', configuration });
+    },
+    hosts: ({ pick }) => {
+      const hosts = fixtures.makeHosts().map((host, index) => ({
+        ...host,
+        state: index === pick % 6 ? ('leaving' as const) : host.state,
+      }));
+      send({ type: 'hostsListed', hosts });
+    },
+    wait: ({ pick }) => {
+      nowMs += pick * 3;
+      world.takeTimers(nowMs).forEach((timer) => send({ type: 'timerFired', timer }));
+      send({ type: 'ticked' });
+    },
+    evidence: ({ pick }) =>
+      send({
+        type: 'crashEvidenceReceived',
+        fingerprint: `f${pick % 20}`,
+        crashes: [`elsewhere-${pick % 2}`],
+      }),
+  };
+  history.forEach((move) => {
+    nowMs += STEP_MS;
+    handlers[move.kind](move);
+  });
+  return { world, customers, configurations, unsent, unrepeatable };
+};
+
+/** Ends everything that is still open, as an undisturbed outside would. */
+const settle = ({ world }: Run): void => {
+  let nowMs = 10_000_000;
+  for (let round = 0; round < 400 && world.driver.getState().requests.size > 0; round += 1) {
+    nowMs += 1_000;
+    const at = nowMs;
+    world
+      .getAwaitedClaims()
+      .forEach((requestId) =>
+        world.send({ type: 'claimSettled', requestId, result: 'granted' }, at),
+      );
+    world
+      .getLive()
+      .forEach(({ requestId, attemptId }) =>
+        world.send(
+          { type: 'attemptEnded', requestId, attemptId, tokensOut: 1, isBilled: true },
+          at,
+        ),
+      );
+    world
+      .getHeldAnswers()
+      .forEach((requestId) => world.send({ type: 'answerRated', requestId, score: null }, at));
+    world
+      .getAwaitedWitnesses()
+      .forEach((requestId) => world.send({ type: 'entryWitnessed', requestId }, at));
+    world.takeTimers(at).forEach((timer) => world.send({ type: 'timerFired', timer }, at));
+    world.send({ type: 'ticked' }, at);
+  }
+};
+
+const checkHistories = (name: string, judge: (run: Run) => boolean): void => {
+  test(name, (t) => {
+    fc.assert(
+      fc.property(moves, (history) => judge(runHistory(history))),
+      { seed: 20_261_204, numRuns: 150 },
+    );
+    t.pass();
+  });
+};
+
+checkHistories(
+  'a request runs only on a model its plan allows',
+  ({ world, customers, configurations }) =>
+    world.starts
+      .filter((start) => start.versionId.includes('@'))
+      .every((start) => {
+        const lists = configurations.get(start.generation);
+        const customer = lists?.plans.customers.find(
+          (one) => one.name === customers.get(start.requestId),
+        );
+        const plan = lists?.plans.plans.find((one) => one.name === customer?.plan);
+        return plan?.models.includes(core.versionId.getModelName(start.versionId)) === true;
+      }),
+);
+
+checkHistories('a withdrawn version starts no new work', ({ world, configurations }) =>
+  world.starts
+    .filter((start) => start.versionId.includes('@') && start.resumeFrom === 0)
+    .every((start) => {
+      const [model, version] = start.versionId.split('@');
+      const lists = configurations.get(start.generation);
+      const found = lists?.models.models
+        .find((one) => one.name === model)
+        ?.versions.find((one) => one.name === version);
+      return found !== undefined && found.state !== 'withdrawn';
+    }),
+);
+
+checkHistories('work that may not be repeated is sent at most once', (run) => {
+  settle(run);
+  return Array.from(run.unrepeatable).every(
+    (requestId) =>
+      run.world.starts.filter(
+        (start) =>
+          start.requestId === requestId && !run.unsent.has(`${requestId}/${start.attemptId}`),
+      ).length <= 1,
+  );
+});
+
+checkHistories('a refusal says "not run" only if nothing can have been sent', ({ world, unsent }) =>
+  Array.from(world.endings.entries()).every(([requestId, effects]) =>
+    effects.every(
+      (effect) =>
+        effect.type !== 'refuse' ||
+        !effect.notRun ||
+        world.starts.every(
+          (start) => start.requestId !== requestId || unsent.has(`${requestId}/${start.attemptId}`),
+        ),
+    ),
+  ),
+);
+
+checkHistories('every request ends once, and nothing is left over', (run) => {
+  settle(run);
+  const state = run.world.driver.getState();
+  const isIdle = state.upstreams.every(
+    (upstream) =>
+      upstream.inFlight === 0 &&
+      upstream.longInFlight === 0 &&
+      upstream.suspectInFlight === 0 &&
+      upstream.overdue === 0,
+  );
+  const isEmpty = state.lanes.every((lane) => lane.running === 0 && lane.queue.size === 0);
+  const endsOnce = Array.from(run.customers.keys()).every(
+    (requestId) => run.world.endings.get(requestId)?.length === 1,
+  );
+  return state.requests.size === 0 && isIdle && isEmpty && endsOnce;
+});
+
+checkHistories('hedges stay within their budget', ({ world }) => {
+  const perRequest = new Map<string, number>();
+  world.starts.forEach((start) =>
+    perRequest.set(start.requestId, (perRequest.get(start.requestId) ?? 0) + 1),
+  );
+  const state = world.driver.getState();
+  return (
+    state.lanes.every((lane) => lane.hedgeBudget.tokens >= 0) &&
+    state.retryBudgets.every((budget) => budget.tokens >= 0)
+  );
+});
+
+checkHistories('whole answers go to the request whose attempt was chosen', ({ world }) =>
+  world.driver
+    .getEffects()
+    .filter((effect) => effect.type === 'relayAttempt')
+    .every((effect) =>
+      world.starts.some(
+        (start) => start.requestId === effect.requestId && start.attemptId === effect.attemptId,
+      ),
+    ),
+);
--- /dev/null
+++ b/packages/core/__tests__/membership.spec.ts
@@ -0,0 +1,146 @@
+import test from 'ava';
+import * as fc from 'fast-check';
+import * as core from '../src/index.js';
+import * as fixtures from './fixtures.js';
+
+const makeUpdate = (
+  id: string,
+  change: Partial<core.member.MemberUpdate> = {},
+): core.member.MemberUpdate => ({
+  id,
+  address: `10.0.0.1:${id}`,
+  zone: 'a',
+  status: 'alive',
+  incarnation: 1,
+  ...change,
+});
+
+const sendGreeting = (
+  driver: fixtures.Driver,
+  self: core.member.MemberUpdate,
+  updates: readonly core.member.MemberUpdate[] = [],
+  generation = 0,
+  nowMs = 0,
+): readonly core.effects.Effect[] =>
+  driver.send(
+    {
+      type: 'greetingReceived',
+      greeting: { self, updates, generation, confirmedAgeMs: 0 },
+    },
+    nowMs,
+  );
+
+const getStatus = (driver: fixtures.Driver, id: string): string | undefined =>
+  driver.getState().members.members.get(id)?.status;
+
+test('a member that answers nobody is suspected and then removed', (t) => {
+  const driver = fixtures.makeDriver();
+  sendGreeting(driver, makeUpdate('2'), [makeUpdate('3')]);
+  const failed = driver.send({ type: 'probeFailed', targetId: '2' }, 100);
+  t.deepEqual(fixtures.pickEffects(failed, 'sendIndirectProbe')[0]?.helpers, ['10.0.0.1:3']);
+  driver.send({ type: 'indirectProbeFailed', targetId: '2' }, 200);
+  t.is(getStatus(driver, '2'), 'suspect');
+  driver.send({ type: 'probeDue' }, 200 + core.membership.SUSPICION_MS);
+  t.is(getStatus(driver, '2'), 'dead');
+});
+
+test('a suspected member that answers in time stays', (t) => {
+  const driver = fixtures.makeDriver();
+  sendGreeting(driver, makeUpdate('2'));
+  driver.send({ type: 'indirectProbeFailed', targetId: '2' }, 100);
+  sendGreeting(driver, makeUpdate('2', { incarnation: 2 }), [], 0, 200);
+  driver.send({ type: 'probeDue' }, 10_000);
+  t.is(getStatus(driver, '2'), 'alive');
+});
+
+test('a suspicion of this router is refuted with a higher incarnation', (t) => {
+  const driver = fixtures.makeDriver();
+  const { self } = driver.getState().members;
+  sendGreeting(driver, makeUpdate('2'), [{ ...self, status: 'suspect' }]);
+  t.is(driver.getState().members.self.incarnation, self.incarnation + 1);
+});
+
+test('a host replaced at the same address is a new member', (t) => {
+  const driver = fixtures.makeDriver();
+  sendGreeting(driver, makeUpdate('2', { address: '10.0.0.9:1' }));
+  sendGreeting(driver, makeUpdate('3', { address: '10.0.0.9:1' }));
+  t.is(getStatus(driver, '2'), undefined);
+  t.is(getStatus(driver, '3'), 'alive');
+  sendGreeting(driver, makeUpdate('4'), [makeUpdate('2', { address: '10.0.0.9:1' })]);
+  t.is(getStatus(driver, '2'), undefined, 'old news does not bring the former host back');
+});
+
+test('a member that has left has no duties', (t) => {
+  const driver = fixtures.makeDriver();
+  sendGreeting(driver, makeUpdate('2'));
+  sendGreeting(driver, makeUpdate('2', { status: 'left' }));
+  const table = driver.getState().members;
+  t.is(core.memberTable.listAlive(table).length, 0);
+  t.true(core.duties.isHolder(table, 'configWatch', 1));
+});
+
+test('a greater generation is fetched and a smaller one is not', (t) => {
+  const driver = fixtures.makeReadyDriver(
+    core.policy.DEFAULT_POLICY,
+    fixtures.makeConfiguration({}, 5),
+  );
+  t.is(fixtures.pickEffects(sendGreeting(driver, makeUpdate('2'), [], 6), 'fetchConfig').length, 1);
+  t.is(fixtures.pickEffects(sendGreeting(driver, makeUpdate('3'), [], 4), 'fetchConfig').length, 0);
+});
+
+test('a configuration never reverts', (t) => {
+  const driver = fixtures.makeReadyDriver(
+    core.policy.DEFAULT_POLICY,
+    fixtures.makeConfiguration({}, 5),
+  );
+  driver.send({ type: 'configAdopted', configuration: fixtures.makeConfiguration({}, 4) });
+  t.is(driver.getState().config?.generation, 5);
+});
+
+test('the order of updates does not change what a router ends up believing', (t) => {
+  const updates = fc.array(
+    fc.record({
+      id: fc.constantFrom('2', '3'),
+      status: fc.constantFrom<core.member.MemberStatus>('alive', 'suspect', 'dead', 'left'),
+      incarnation: fc.integer({ min: 1, max: 3 }),
+    }),
+    { minLength: 1, maxLength: 12 },
+  );
+  const believe = (list: readonly Partial<core.member.MemberUpdate>[]): readonly string[] => {
+    const table = list.reduce<core.memberTable.MemberTable>(
+      (known, change) =>
+        core.memberTable.mergeUpdate(known, makeUpdate(change.id ?? '2', change), 0),
+      // Both members are known from the start, as news of strangers that are gone is ignored.
+      ['2', '3'].reduce(
+        (known, id) => core.memberTable.mergeUpdate(known, makeUpdate(id, { incarnation: 0 }), 0),
+        core.memberTable.makeTable(makeUpdate('1')),
+      ),
+    );
+    return ['2', '3'].map((id) => {
+      const known = table.members.get(id);
+      const isGone = known?.status === 'dead' || known?.status === 'left';
+      return isGone ? known.status : `${known?.status}${known?.incarnation}`;
+    });
+  };
+  fc.assert(
+    fc.property(updates, (list) => {
+      t.deepEqual(believe(list), believe(list.toReversed()));
+    }),
+    { seed: 20_261_204, numRuns: 300 },
+  );
+});
+
+test('messages carry a bounded number of updates, each a bounded number of times', (t) => {
+  const driver = fixtures.makeDriver();
+  const others = Array.from({ length: 200 }, (_, index) => makeUpdate(String(index + 2)));
+  sendGreeting(driver, makeUpdate('1000'), others);
+  let sent = 0;
+  for (let round = 0; round < 2_000; round += 1) {
+    const [probe] = fixtures.pickEffects(driver.send({ type: 'probeDue' }, round), 'sendProbe');
+    const count = probe?.greeting.updates.length ?? 0;
+    t.true(count <= core.memberTable.RUMOURS_PER_MESSAGE);
+    sent += count;
+  }
+  t.is(driver.getState().members.rumours.size, 0);
+  t.true(sent < 201 * 3 * 9);
+});
--- /dev/null
+++ b/packages/core/__tests__/world.ts
@@ -0,0 +1,107 @@
+import * as core from '../src/index.js';
+import * as fixtures from './fixtures.js';
+
+/** What the outside of a reducer knows: live attempts, armed timers and what was said to callers. */
+export interface World {
+  readonly driver: fixtures.Driver;
+  readonly starts: readonly Start[];
+  readonly endings: ReadonlyMap<string, readonly core.effects.Effect[]>;
+  readonly send: (event: core.events.EventBody, nowMs: number) => void;
+  readonly getLive: () => readonly Start[];
+  readonly takeTimers: (untilMs: number) => readonly core.events.Timer[];
+  readonly getAwaitedWitnesses: () => readonly string[];
+  readonly getAwaitedClaims: () => readonly string[];
+  readonly getHeldAnswers: () => readonly string[];
+}
+
+/** One attempt that the reducer started. */
+export interface Start {
+  readonly requestId: string;
+  readonly attemptId: number;
+  readonly upstreamId: string;
+  readonly versionId: string;
+  readonly resumeFrom: number;
+  readonly atMs: number;
+  readonly generation: number;
+}
+
+interface Armed {
+  readonly timer: core.events.Timer;
+  readonly dueMs: number;
+}
+
+const makeKey = (one: { readonly requestId: string; readonly attemptId: number }): string =>
+  `${one.requestId}/${one.attemptId}`;
+
+/** Makes a world around a driver. */
+export const makeWorld = (driver: fixtures.Driver): World => {
+  const starts: Start[] = [];
+  const live = new Map<string, Start>();
+  const endings = new Map<string, readonly core.effects.Effect[]>();
+  let timers: readonly Armed[] = [];
+  const witnesses = new Set<string>();
+  const claims = new Set<string>();
+  const held = new Set<string>();
+  const apply = (effect: core.effects.Effect, nowMs: number): void => {
+    switch (effect.type) {
+      case 'startAttempt': {
+        const generation = driver.getState().config?.generation ?? 0;
+        const start = { ...effect, atMs: nowMs, generation };
+        starts.push(start);
+        live.set(makeKey(effect), start);
+        break;
+      }
+      case 'cancelAttempt':
+        live.delete(makeKey(effect));
+        break;
+      case 'armTimer':
+        timers = [...timers, { timer: effect.timer, dueMs: nowMs + effect.delayMs }];
+        break;
+      case 'witnessEntry':
+        witnesses.add(effect.entry.requestId);
+        break;
+      case 'writeClaim':
+        claims.add(effect.requestId);
+        break;
+      case 'rateHeldAnswer':
+        held.add(effect.requestId);
+        break;
+      case 'refuse':
+      case 'finishAnswer':
+      case 'replayAnswer':
+        endings.set(effect.requestId, [...(endings.get(effect.requestId) ?? []), effect]);
+        break;
+      default:
+        break;
+    }
+  };
+  const forget = (event: core.events.EventBody): void => {
+    if (event.type === 'attemptEnded' || event.type === 'attemptFailed') {
+      live.delete(makeKey(event));
+    } else if (event.type === 'entryWitnessed') {
+      witnesses.delete(event.requestId);
+    } else if (event.type === 'claimSettled') {
+      claims.delete(event.requestId);
+    } else if (event.type === 'answerRated') {
+      held.delete(event.requestId);
+    }
+  };
+  return {
+    driver,
+    starts,
+    endings,
+    send: (event, nowMs) => {
+      forget(event);
+      driver.send(event, nowMs).forEach((effect) => apply(effect, nowMs));
+    },
+    getLive: () => Array.from(live.values()),
+    takeTimers: (untilMs) => {
+      const due = timers.filter((armed) => armed.dueMs <= untilMs);
+      timers = timers.filter((armed) => armed.dueMs > untilMs);
+      return due.map((armed) => armed.timer);
+    },
+    getAwaitedWitnesses: () => Array.from(witnesses),
+    getAwaitedClaims: () => Array.from(claims),
+    getHeldAnswers: () => Array.from(held),
+  };
+};
