--- /dev/null
+++ b/packages-private/measure/__tests__/answers.spec.ts
@@ -0,0 +1,173 @@
+import test from 'ava';
+import * as shared from '@jayrock/shared';
+import * as standIns from '@jayrock/stand-ins';
+import * as undici from 'undici';
+import * as socketSite from './socketSite.js';
+
+let site: socketSite.SocketSite;
+
+test.before(async () => {
+  site = await socketSite.startSite('127.0.3.2');
+});
+
+test.after.always(async () => {
+  await site.close();
+});
+
+const setFaults = (change: Partial<standIns.control.Faults>): void =>
+  site.engines.forEach((engine) => Object.assign(engine.faults, change));
+
+const makeExpected = (versionId: string, prompt: string): string =>
+  standIns.engine.makeAnswer(versionId, prompt, 200);
+
+/** Waits until an answer is being relayed. */
+const waitRelayed = (): Promise<void> =>
+  standIns.control.waitUntil(() =>
+    site.running.node.getState().requests.some((one) => one.relayedAttempt !== null),
+  );
+
+test.serial('an answer arrives whole, streamed or not, and is billed once', async (t) => {
+  const streamed = await site.send(socketSite.makeChat('tell me'));
+  const collected = await site.send(socketSite.makeChat('tell me', { stream: false }));
+  t.true(streamed.isWhole);
+  t.is(streamed.text, makeExpected(streamed.versionId, 'tell me'));
+  t.is(collected.text, makeExpected(collected.versionId, 'tell me'));
+  const ids = (await site.readLedger()).map((entry) => entry.requestId);
+  t.is(ids.filter((id) => id === streamed.requestId).length, 1);
+  t.is(ids.filter((id) => id === collected.requestId).length, 1);
+});
+
+test.serial('garbage from upstreams is its own error and is not billed', async (t) => {
+  setFaults({ isGarbage: true });
+  const result = await site.send(socketSite.makeChat('garbage'));
+  setFaults({ isGarbage: false });
+  t.is(result.code, 'upstreamGarbage');
+  t.false(result.notRun);
+  const entries = await site.readLedger();
+  t.false(entries.some((entry) => entry.requestId === result.requestId));
+});
+
+test.serial('a stream without its end mark is not taken as whole and not billed', async (t) => {
+  setFaults({ losesEndMark: true });
+  const result = await site.send(socketSite.makeChat('no end'));
+  setFaults({ losesEndMark: false });
+  t.false(result.isWhole);
+  t.is(result.code, 'answerIncomplete');
+  const entries = await site.readLedger();
+  t.false(entries.some((entry) => entry.requestId === result.requestId));
+});
+
+test.serial('a stream that goes silent is resumed byte for byte', async (t) => {
+  const prompt = 'long one len=150';
+  const sent = site.send(socketSite.makeChat(prompt));
+  await waitRelayed();
+  site.engines.forEach((engine) => engine.silence());
+  const result = await sent;
+  t.true(result.isWhole);
+  t.is(result.text, makeExpected(result.versionId, prompt));
+});
+
+test.serial('a crash in the middle of a stream is recovered byte for byte', async (t) => {
+  const prompt = 'crash midway len=150';
+  const sent = site.send(socketSite.makeChat(prompt));
+  await waitRelayed();
+  const running = site.running.node.getState().requests.first();
+  const upstreamId = running?.attempts[0]?.upstreamId;
+  const crash = site.engines.find((engine) => engine.id === upstreamId)?.crash(300);
+  const result = await sent;
+  await crash;
+  t.true(result.isWhole);
+  t.is(result.text, makeExpected(result.versionId, prompt));
+});
+
+test.serial('a caller that leaves cancels the work upstream', async (t) => {
+  const controller = new AbortController();
+  const response = await undici.request(`http://${site.address}/v1/chat/completions`, {
+    method: 'POST',
+    headers: { 'content-type': 'application/json', authorization: 'Bearer demo-ada' },
+    body: JSON.stringify(socketSite.makeChat('leave len=200')),
+    signal: controller.signal,
+  });
+  response.body.on('error', () => undefined);
+  controller.abort();
+  await standIns.control.waitUntil(() => site.running.node.getState().requests.size === 0);
+  t.true(site.running.node.getState().upstreams.every((upstream) => upstream.inFlight === 0));
+});
+
+test.serial('a session token keeps its version, and a withdrawn version is left', async (t) => {
+  const first = await site.send(socketSite.makeChat('start'));
+  const version = first.versionId;
+  const headers = { 'x-jayrock-session': first.sessionToken ?? '' };
+  const second = await site.send(socketSite.makeChat('go on'), { headers });
+  t.is(second.versionId, version);
+  const withdrawn = socketSite.makeModels();
+  const models = withdrawn.models.map((model) => ({
+    ...model,
+    versions: model.versions.map((one) => ({
+      ...one,
+      state: `${model.name}@${one.name}` === version ? ('withdrawn' as const) : one.state,
+    })),
+  }));
+  await site.setModels({ ...withdrawn, models });
+  const before = site.engines.map((engine) => engine.starts.get(version) ?? 0);
+  const third = await site.send(socketSite.makeChat('and on'), { headers });
+  t.true(third.isWhole);
+  t.not(third.versionId, version);
+  t.deepEqual(
+    site.engines.map((engine) => engine.starts.get(version) ?? 0),
+    before,
+  );
+  await site.setModels(socketSite.makeModels());
+});
+
+test.serial('a forged session token is not honoured', async (t) => {
+  const body = Buffer.from(JSON.stringify({ customer: 'ada', versions: { small: 'v2' } })).toString(
+    'base64url',
+  );
+  const headers = { 'x-jayrock-session': `${body}.${'A'.repeat(43)}` };
+  const result = await site.send(socketSite.makeChat('forged'), { headers });
+  t.is(result.versionId, 'small@v1');
+});
+
+test.serial('a resend of work that may not be repeated gets the recorded answer', async (t) => {
+  const call = {
+    path: '/services/orders/issue',
+    idempotencyKey: shared.requestId.makeRequestId(),
+  };
+  const first = await site.send({ item: 1 }, call);
+  t.is(first.status, 200);
+  // The answer is recorded with the next group of claims.
+  await standIns.control.waitUntil(() =>
+    site.running.node
+      .getState()
+      .claims.some((log) => log.records.some((one) => one.answer !== null)),
+  );
+  const second = await site.send({ item: 1 }, call);
+  t.is(second.text, first.text);
+  t.is(site.plain.runs.get(first.requestId), 1);
+});
+
+test.serial('a resend whose first run was lost is told that it may have run', async (t) => {
+  site.plain.faults.losesAnswers = true;
+  const call = {
+    path: '/services/orders/issue',
+    idempotencyKey: shared.requestId.makeRequestId(),
+  };
+  const first = await site.send({ item: 2 }, call);
+  site.plain.faults.losesAnswers = false;
+  t.is(first.code, 'upstreamFailed');
+  t.false(first.notRun);
+  const second = await site.send({ item: 2 }, call);
+  t.is(second.code, 'mayHaveRun');
+  t.false(second.notRun);
+  t.is(site.plain.runs.get(first.requestId), 1);
+});
+
+test.serial('a key older than the kept window is told that it may have run', async (t) => {
+  const old = '018f0000-0000-7000-8000-000000000000';
+  const result = await site.send(
+    { item: 3 },
+    { path: '/services/orders/issue', idempotencyKey: old },
+  );
+  t.is(result.code, 'mayHaveRun');
+});
--- a/packages-private/stand-ins/src/control.ts
+++ b/packages-private/stand-ins/src/control.ts
@@ -35,6 +35,16 @@
     setTimeout(resolve, delayMs);
   });
 
+const POLL_MS = 5;
+
+/** Waits until a condition holds, looking every few milliseconds. */
+export const waitUntil = async (isDone: () => boolean): Promise<void> => {
+  while (!isDone()) {
+    // eslint-disable-next-line no-await-in-loop -- each look follows a pause
+    await wait(POLL_MS);
+  }
+};
+
 /** Breaks connections from hosts that are cut off. */
 export const addCutHook = (server: fastify.FastifyInstance, faults: Faults): void => {
   server.addHook('onRequest', async (request, reply) => {
--- a/packages/router/src/callers/callerServer.ts
+++ b/packages/router/src/callers/callerServer.ts
@@ -53,10 +53,11 @@
   detail?: string,
 ): fastify.FastifyReply => {
   const row = shared.errorCodes.getErrorRow(code);
+  const extra = detail === undefined ? {} : { detail };
   return reply
     .code(row.status)
     .type(problem.PROBLEM_TYPE)
-    .send(JSON.stringify(problem.makeProblem(code, true, detail === undefined ? {} : { detail })));
+    .send(Buffer.from(JSON.stringify(problem.makeProblem(code, true, extra))));
 };
 
 type RequestName = shared.outcome.Outcome<string, Refusal>;
