--- a/packages-private/measure/src/faultsMain.ts
+++ b/packages-private/measure/src/faultsMain.ts
@@ -1,3 +1,6 @@
+import * as childProcess from 'node:child_process';
+import * as path from 'node:path';
+import * as url from 'node:url';
 import * as cac from 'cac';
 import * as platform from '@jayrock/platform';
 import * as shared from '@jayrock/shared';
@@ -71,6 +74,29 @@
   await wait(6_000);
 };
 
+const CLI = path.resolve(
+  path.dirname(url.fileURLToPath(import.meta.url)),
+  '../../../../packages/cli/dist/src/main.js',
+);
+/** Time after which a withdrawn version must get no new request, in milliseconds. */
+const WITHDRAW_LIMIT_MS = 3_000;
+
+const countStarts = (fleet: fleets.Fleet, versionId: string): number =>
+  fleet.engines.reduce((sum, engine) => sum + (engine.starts.get(versionId) ?? 0), 0);
+
+const withdrawVersion: Fault = async (fleet, durationMs) => {
+  const command = ['rollout', 'withdraw', 'clerk-small', 'v3', '--store', fleet.store.address];
+  const before = countStarts(fleet, 'clerk-small@v3');
+  childProcess.execFileSync(process.execPath, [CLI, ...command]);
+  await wait(WITHDRAW_LIMIT_MS);
+  const atLimit = countStarts(fleet, 'clerk-small@v3');
+  await wait(durationMs);
+  const late = countStarts(fleet, 'clerk-small@v3') - atLimit;
+  process.stderr.write(
+    `version withdrawn: ${before} starts before, ${atLimit - before} within 3 s, ${late} later\n`,
+  );
+};
+
 const sendPoison: Fault = async (fleet) => {
   const sends = Array.from({ length: 6 }, (_, index) => index);
   await sends.reduce(async (before, index) => {
@@ -150,6 +176,7 @@
   'poison request': sendPoison,
   'router paused': pauseHost,
   'two operators': raceOperators,
+  'version withdrawn': withdrawVersion,
 };
 
 /** Runs all faults in a seeded order until the time is over. */
@@ -157,7 +184,9 @@
   (seed: string): Fault =>
   async (fleet, durationMs) => {
     const untilMs = Date.now() + durationMs;
-    const names = Object.keys(FAULTS).filter((name) => name !== 'two operators');
+    const names = Object.keys(FAULTS).filter(
+      (name) => name !== 'two operators' && name !== 'version withdrawn',
+    );
     const runRound = async (round: number): Promise<void> => {
       if (Date.now() >= untilMs) {
         return;
--- /dev/null
+++ b/packages/cli/__tests__/burn.spec.ts
@@ -0,0 +1,86 @@
+import test from 'ava';
+import * as hdr from 'hdr-histogram-js';
+import * as burn from '../src/burn.js';
+
+const TARGETS = { firstTokenMs: 360, interTokenMs: 25, latencyShare: 0.95, availability: 0.99 };
+const MINUTE_MS = 60_000;
+const NOW_MS = 1_000 * MINUTE_MS;
+
+const encodeValues = (values: readonly number[]): string => {
+  const histogram = hdr.build();
+  values.forEach((value) => histogram.recordValue(value));
+  return hdr.encodeIntoCompressedBase64(histogram);
+};
+
+const makeReport = (
+  buckets: readonly Partial<burn.LevelBucket>[],
+  values: readonly number[] = [],
+): burn.LevelReport => ({
+  plan: 'group',
+  model: 'small',
+  targets: TARGETS,
+  buckets: buckets.map((bucket) => ({
+    startMs: NOW_MS - MINUTE_MS,
+    total: 100,
+    slowFirstToken: 0,
+    slowInterToken: 0,
+    errors: 0,
+    truncated: 0,
+    ...bucket,
+  })),
+  firstToken: encodeValues(values),
+  interToken: encodeValues([]),
+});
+
+const mergeOne = (...reports: readonly burn.LevelReport[]): burn.MergedLevel => {
+  const [level] = burn.mergeReports(reports);
+  if (level === undefined) {
+    throw new Error('no level was merged');
+  }
+  return level;
+};
+
+const findRow = (
+  level: burn.MergedLevel,
+  objective: burn.Objective,
+  pair: string,
+): burn.BurnRow => {
+  const row = burn
+    .listBurn(level, NOW_MS)
+    .find((one) => one.objective === objective && one.pair === pair);
+  if (row === undefined) {
+    throw new Error('no such row');
+  }
+  return row;
+};
+
+test('a budget spent exactly burns at rate 1', (t) => {
+  const level = mergeOne(makeReport([{ errors: 1 }]));
+  t.is(Math.round(findRow(level, 'availability', 'page').short * 1_000), 1_000);
+});
+
+test('an old burst alone does not alert, as the short window is clean', (t) => {
+  const level = mergeOne(
+    makeReport([{ startMs: NOW_MS - 40 * MINUTE_MS, errors: 100 }, { errors: 0 }]),
+  );
+  const row = findRow(level, 'availability', 'page');
+  t.is(row.short, 0);
+  t.true(row.long > 14.4);
+  t.false(row.isAlerting);
+});
+
+test('a burst in both windows alerts', (t) => {
+  const level = mergeOne(makeReport([{ errors: 50 }]));
+  t.true(findRow(level, 'availability', 'page').isAlerting);
+});
+
+test('reports of routers are merged by bucket and by histogram', (t) => {
+  const level = mergeOne(
+    makeReport([{ slowFirstToken: 10 }], [100, 100]),
+    makeReport([{ slowFirstToken: 0 }], [300, 300]),
+  );
+  t.is(level.buckets.length, 1);
+  t.is(level.buckets[0]?.total, 200);
+  t.is(level.firstToken.totalCount, 4);
+  t.is(Math.round(findRow(level, 'firstToken', 'page').short * 10) / 10, 1);
+});
--- /dev/null
+++ b/packages/cli/__tests__/listDiff.spec.ts
@@ -0,0 +1,32 @@
+import test from 'ava';
+import * as listDiff from '../src/listDiff.js';
+
+test('a change of order is no difference', (t) => {
+  const a = {
+    customers: [
+      { name: 'x', weight: 1 },
+      { name: 'y', weight: 2 },
+    ],
+  };
+  const b = {
+    customers: [
+      { name: 'y', weight: 2 },
+      { name: 'x', weight: 1 },
+    ],
+  };
+  t.deepEqual(listDiff.diffLists(a, b), []);
+});
+
+test('changes name the item and both values', (t) => {
+  const a = { customers: [{ name: 'x', weight: 1 }] };
+  const b = {
+    customers: [
+      { name: 'x', weight: 3 },
+      { name: 'z', weight: 1 },
+    ],
+  };
+  t.deepEqual(listDiff.diffLists(a, b), [
+    '~ customers.x.weight: 1 -> 3',
+    '+ customers.z: {"name":"z","weight":1}',
+  ]);
+});
--- /dev/null
+++ b/packages/cli/src/burn.ts
@@ -0,0 +1,144 @@
+import * as hdr from 'hdr-histogram-js';
+import type * as shared from '@jayrock/shared';
+
+/** Counts of one plan and model in one span, as routers report them. */
+export interface LevelBucket {
+  readonly startMs: number;
+  readonly total: number;
+  readonly slowFirstToken: number;
+  readonly slowInterToken: number;
+  readonly errors: number;
+  readonly truncated: number;
+}
+
+/** A router's report on one plan and model. */
+export interface LevelReport {
+  readonly plan: string;
+  readonly model: string;
+  readonly targets: shared.lists.Targets;
+  readonly buckets: readonly LevelBucket[];
+  readonly firstToken: string;
+  readonly interToken: string;
+}
+
+/** Reports of several routers on one plan and model, merged. */
+export interface MergedLevel {
+  readonly plan: string;
+  readonly model: string;
+  readonly targets: shared.lists.Targets;
+  readonly buckets: readonly LevelBucket[];
+  readonly firstToken: hdr.Histogram;
+  readonly interToken: hdr.Histogram;
+}
+
+/** What a target is about. */
+export type Objective = 'firstToken' | 'interToken' | 'availability';
+
+/** A short and a long window; an alert needs both, so that it is neither jumpy nor late. */
+export interface WindowPair {
+  readonly name: string;
+  readonly shortMs: number;
+  readonly longMs: number;
+  /** Burn rate from which the pair alerts. */
+  readonly threshold: number;
+}
+
+const MINUTE_MS = 60_000;
+
+/** Window pairs of the report: one that pages and one that opens a ticket. */
+export const WINDOW_PAIRS: readonly WindowPair[] = [
+  { name: 'page', shortMs: 5 * MINUTE_MS, longMs: 60 * MINUTE_MS, threshold: 14.4 },
+  { name: 'ticket', shortMs: 30 * MINUTE_MS, longMs: 360 * MINUTE_MS, threshold: 6 },
+];
+
+const mergeBuckets = (a: LevelBucket, b: LevelBucket): LevelBucket => ({
+  startMs: a.startMs,
+  total: a.total + b.total,
+  slowFirstToken: a.slowFirstToken + b.slowFirstToken,
+  slowInterToken: a.slowInterToken + b.slowInterToken,
+  errors: a.errors + b.errors,
+  truncated: a.truncated + b.truncated,
+});
+
+const mergeSeries = (buckets: readonly LevelBucket[]): readonly LevelBucket[] => {
+  const table = new Map<number, LevelBucket>();
+  buckets.forEach((bucket) => {
+    const known = table.get(bucket.startMs);
+    table.set(bucket.startMs, known === undefined ? bucket : mergeBuckets(known, bucket));
+  });
+  return Array.from(table.values()).toSorted((a, b) => a.startMs - b.startMs);
+};
+
+const mergeHistograms = (encoded: readonly string[]): hdr.Histogram => {
+  const merged = hdr.build();
+  encoded.forEach((text) => merged.add(hdr.decodeFromCompressedBase64(text)));
+  return merged;
+};
+
+/** Merges the reports of several routers by plan and model. */
+export const mergeReports = (reports: readonly LevelReport[]): readonly MergedLevel[] => {
+  const groups = new Map<string, LevelReport[]>();
+  reports.forEach((report) => {
+    const key = `${report.plan}|${report.model}`;
+    groups.set(key, [...(groups.get(key) ?? []), report]);
+  });
+  return Array.from(groups.values()).map((group) => ({
+    plan: group[0]?.plan ?? '',
+    model: group[0]?.model ?? '',
+    targets: group[0]?.targets as shared.lists.Targets,
+    buckets: mergeSeries(group.flatMap((report) => report.buckets)),
+    firstToken: mergeHistograms(group.map((report) => report.firstToken)),
+    interToken: mergeHistograms(group.map((report) => report.interToken)),
+  }));
+};
+
+const BAD_COUNTS: Readonly<Record<Objective, (bucket: LevelBucket) => number>> = {
+  firstToken: (bucket) => bucket.slowFirstToken,
+  interToken: (bucket) => bucket.slowInterToken,
+  availability: (bucket) => bucket.errors,
+};
+
+const getAllowedShare = (targets: shared.lists.Targets, objective: Objective): number =>
+  1 - (objective === 'availability' ? targets.availability : targets.latencyShare);
+
+/** Computes how many times faster than allowed the error budget is spent in some buckets. */
+export const computeBurn = (
+  level: Pick<MergedLevel, 'targets'>,
+  objective: Objective,
+  buckets: readonly LevelBucket[],
+): number => {
+  const total = buckets.reduce((sum, bucket) => sum + bucket.total, 0);
+  const bad = buckets.reduce((sum, bucket) => sum + BAD_COUNTS[objective](bucket), 0);
+  return total === 0 ? 0 : bad / total / getAllowedShare(level.targets, objective);
+};
+
+/** Burn of one objective over a pair of windows. */
+export interface BurnRow {
+  readonly objective: Objective;
+  readonly pair: string;
+  readonly short: number;
+  readonly long: number;
+  readonly isAlerting: boolean;
+}
+
+const OBJECTIVES: readonly Objective[] = ['firstToken', 'interToken', 'availability'];
+
+const makeRow = (
+  level: MergedLevel,
+  objective: Objective,
+  pair: WindowPair,
+  nowMs: number,
+): BurnRow => {
+  const since = (spanMs: number): readonly LevelBucket[] =>
+    level.buckets.filter((bucket) => bucket.startMs >= nowMs - spanMs);
+  const short = computeBurn(level, objective, since(pair.shortMs));
+  const long = computeBurn(level, objective, since(pair.longMs));
+  const isAlerting = short >= pair.threshold && long >= pair.threshold;
+  return { objective, pair: pair.name, short, long, isAlerting };
+};
+
+/** Lists the burn of every objective over every pair of windows. */
+export const listBurn = (level: MergedLevel, nowMs: number): readonly BurnRow[] =>
+  OBJECTIVES.flatMap((objective) =>
+    WINDOW_PAIRS.map((pair) => makeRow(level, objective, pair, nowMs)),
+  );
--- /dev/null
+++ b/packages/cli/src/burnPage.ts
@@ -0,0 +1,127 @@
+import * as vega from 'vega';
+import * as vegaLite from 'vega-lite';
+import * as burn from './burn.js';
+
+const CHART_WIDTH = 720;
+const CHART_HEIGHT = 220;
+const PERCENTILES = [50, 75, 90, 95, 99, 99.9] as const;
+
+const renderChart = async (spec: vegaLite.TopLevelSpec): Promise<string> => {
+  const compiled = vegaLite.compile(spec).spec;
+  const view = new vega.View(vega.parse(compiled), { renderer: 'none' });
+  const svg = await view.toSVG();
+  view.finalize();
+  return svg;
+};
+
+const makeSpec = (
+  title: string,
+  values: readonly object[],
+  encoding: object,
+): vegaLite.TopLevelSpec => ({
+  title,
+  width: CHART_WIDTH,
+  height: CHART_HEIGHT,
+  data: { values: [...values] },
+  mark: { type: 'line', point: true },
+  encoding,
+});
+
+const nameLevel = (level: burn.MergedLevel): string => `${level.plan} / ${level.model}`;
+
+const renderBurnChart = (
+  levels: readonly burn.MergedLevel[],
+  objective: burn.Objective,
+  title: string,
+): Promise<string> =>
+  renderChart(
+    makeSpec(
+      title,
+      levels.flatMap((level) =>
+        level.buckets.map((bucket) => ({
+          time: bucket.startMs,
+          burn: burn.computeBurn(level, objective, [bucket]),
+          level: nameLevel(level),
+        })),
+      ),
+      {
+        x: { field: 'time', type: 'temporal', title: 'time' },
+        y: { field: 'burn', type: 'quantitative', title: 'burn rate (1 = budget just spent)' },
+        color: { field: 'level', type: 'nominal', title: 'plan / model' },
+      },
+    ),
+  );
+
+const renderLatencyChart = (levels: readonly burn.MergedLevel[]): Promise<string> =>
+  renderChart(
+    makeSpec(
+      'Time to first token',
+      levels.flatMap((level) =>
+        PERCENTILES.map((percentile) => ({
+          percentile: String(percentile),
+          ms: level.firstToken.getValueAtPercentile(percentile),
+          level: nameLevel(level),
+        })),
+      ),
+      {
+        x: {
+          field: 'percentile',
+          type: 'ordinal',
+          title: 'percentile',
+          sort: PERCENTILES.map(String),
+        },
+        y: { field: 'ms', type: 'quantitative', title: 'milliseconds', scale: { type: 'symlog' } },
+        color: { field: 'level', type: 'nominal', title: 'plan / model' },
+      },
+    ),
+  );
+
+const escapeHtml = (text: string): string =>
+  text.replaceAll('&', '&amp;').replaceAll('<', '&lt;').replaceAll('>', '&gt;');
+
+const renderRow = (level: burn.MergedLevel, row: burn.BurnRow): string => {
+  const cells = [
+    nameLevel(level),
+    row.objective,
+    row.pair,
+    row.short.toFixed(2),
+    row.long.toFixed(2),
+  ];
+  const kind = row.isAlerting ? ' class="alert"' : '';
+  return `<tr${kind}>${cells.map((cell) => `<td>${escapeHtml(cell)}</td>`).join('')}</tr>`;
+};
+
+const STYLE = `body{font-family:sans-serif;margin:2rem;max-width:60rem}
+table{border-collapse:collapse;margin-bottom:2rem}
+td,th{border:1px solid #ccc;padding:.3rem .6rem;text-align:left}
+tr.alert td{background:#fdd}`;
+
+/** Renders the report on service-level burn as one HTML page. */
+export const renderBurnPage = async (
+  levels: readonly burn.MergedLevel[],
+  nowMs: number,
+): Promise<string> => {
+  const charts = await Promise.all([
+    renderBurnChart(levels, 'availability', 'Burn of availability'),
+    renderBurnChart(levels, 'firstToken', 'Burn of time to first token'),
+    renderBurnChart(levels, 'interToken', 'Burn of time between tokens'),
+    renderLatencyChart(levels),
+  ]);
+  const rows = levels.flatMap((level) =>
+    burn.listBurn(level, nowMs).map((row) => renderRow(level, row)),
+  );
+  return `<!doctype html>
+<html lang="en">
+<head><meta charset="utf-8"><title>Service-level burn</title><style>${STYLE}</style></head>
+<body>
+<h1>Service-level burn</h1>
+<p>${new Date(nowMs).toISOString()}. A rate of 1 spends the error budget exactly; a row is marked when
+its short and its long window both reach the pair's threshold.</p>
+<table><tr><th>plan / model</th><th>objective</th><th>windows</th><th>short</th><th>long</th></tr>
+${rows.join('\n')}
+</table>
+${charts.join('\n')}
+</body>
+</html>
+`;
+};
--- /dev/null
+++ b/packages/cli/src/commands/check.ts
@@ -0,0 +1,66 @@
+import * as fs from 'node:fs';
+import * as shared from '@jayrock/shared';
+import type * as zod from 'zod';
+import * as output from '../output.js';
+
+interface FileKind {
+  readonly name: string;
+  /** Top-level field by which a file of this kind is known. */
+  readonly mark: string;
+  readonly schema: zod.ZodType;
+}
+
+const KINDS: readonly FileKind[] = [
+  { name: 'settings', mark: 'platform', schema: shared.settings.settingsSchema },
+  { name: 'plans list', mark: 'plans', schema: shared.lists.plansListSchema },
+  { name: 'models list', mark: 'models', schema: shared.lists.modelsListSchema },
+];
+
+const readText = (file: string): string => {
+  try {
+    return fs.readFileSync(file, 'utf8');
+  } catch {
+    return '';
+  }
+};
+
+const findKind = (text: string): FileKind | undefined => {
+  const fields = shared.jsonc.listFields(text);
+  return KINDS.find((kind) => fields.includes(kind.mark));
+};
+
+interface Checked {
+  readonly file: string;
+  readonly kind: string;
+  readonly problems: readonly shared.jsonc.FileProblem[];
+}
+
+const checkFile = (file: string): Checked => {
+  const text = readText(file);
+  const kind = findKind(text);
+  if (kind === undefined) {
+    const message =
+      text === '' ? 'cannot be read' : 'expected settings, a plans list or a models list';
+    return { file, kind: 'unknown', problems: [{ file, line: 1, field: '(file)', message }] };
+  }
+  const parsed = shared.jsonc.parseJsonc(file, text, kind.schema);
+  return { file, kind: kind.name, problems: parsed.ok ? [] : parsed.error };
+};
+
+/** Checks files and prints each problem with file, line and field. */
+export const runCheck = (files: readonly string[], isJson: boolean): number => {
+  const checked = files.map(checkFile);
+  if (isJson) {
+    output.printJson(checked);
+  } else {
+    checked.forEach(({ file, kind, problems }) => {
+      if (problems.length === 0) {
+        output.printLine(`${file}: valid ${kind}`);
+      }
+      problems.forEach((problem) => output.printError(shared.jsonc.formatProblem(problem)));
+    });
+  }
+  return checked.every(({ problems }) => problems.length === 0)
+    ? output.EXIT.ok
+    : output.EXIT.failed;
+};
--- /dev/null
+++ b/packages/cli/src/commands/ledger.ts
@@ -0,0 +1,70 @@
+import * as shared from '@jayrock/shared';
+import * as output from '../output.js';
+import * as target from '../target.js';
+
+/** Options of `ledger`. */
+export interface LedgerOptions extends target.TargetOptions {
+  readonly customer?: string;
+  readonly entries?: boolean;
+}
+
+type Entry = shared.ledgerEntry.LedgerEntry;
+
+interface Total {
+  readonly customer: string;
+  readonly model: string;
+  readonly requests: number;
+  readonly tokens: number;
+  readonly costMicros: number;
+}
+
+const addEntry = (totals: ReadonlyMap<string, Total>, entry: Entry): ReadonlyMap<string, Total> => {
+  const key = `${entry.customer}|${entry.model}`;
+  const known = totals.get(key);
+  const next: Total = {
+    customer: entry.customer,
+    model: entry.model,
+    requests: (known?.requests ?? 0) + 1,
+    tokens: (known?.tokens ?? 0) + entry.tokensIn + entry.tokensOut,
+    costMicros: (known?.costMicros ?? 0) + entry.costMicros,
+  };
+  return new Map(totals).set(key, next);
+};
+
+const printTotals = (entries: readonly Entry[]): void => {
+  const totals = entries.reduce(addEntry, new Map<string, Total>());
+  const rows = Array.from(totals.values()).toSorted((a, b) =>
+    `${a.customer}|${a.model}` < `${b.customer}|${b.model}` ? -1 : 1,
+  );
+  output.printLine(
+    output.renderTable(
+      ['customer', 'model', 'requests', 'tokens', 'cost (micros)'],
+      rows.map((row) => [row.customer, row.model, row.requests, row.tokens, row.costMicros]),
+    ),
+  );
+};
+
+/** Prints the ledger, folded by request id. */
+export const runLedger = async (options: LedgerOptions): Promise<number> => {
+  const store = target.openStore(options);
+  if (!store.ok) {
+    output.printError(store.error);
+    return output.EXIT.usage;
+  }
+  const found = await store.value.list('ledger/', 'other');
+  await store.value.close();
+  if (!found.ok) {
+    output.printError('the key-value service does not answer');
+    return output.EXIT.unreachable;
+  }
+  const written = found.value.flatMap((row) => JSON.parse(row.value) as Entry[]);
+  const folded = Array.from(shared.ledgerEntry.foldLedger(written).values()).filter(
+    (entry) => options.customer === undefined || entry.customer === options.customer,
+  );
+  if (options.json === true || options.entries === true) {
+    output.printJson(folded);
+  } else {
+    printTotals(folded);
+  }
+  return output.EXIT.ok;
+};
--- /dev/null
+++ b/packages/cli/src/commands/rollout.ts
@@ -0,0 +1,137 @@
+import * as platform from '@jayrock/platform';
+import * as shared from '@jayrock/shared';
+import * as output from '../output.js';
+import * as target from '../target.js';
+import * as waitForce from './waitForce.js';
+
+/** Options of the commands on roll-outs. */
+export interface RolloutOptions extends target.TargetOptions {
+  readonly steps?: string;
+  readonly wait?: boolean;
+}
+
+const ACTIONS: ReadonlySet<string> = new Set([
+  'start',
+  'advance',
+  'pause',
+  'resume',
+  'finish',
+  'withdraw',
+]);
+
+const printRollouts = async (
+  store: platform.keyValueStore.KeyValueStore,
+  options: RolloutOptions,
+): Promise<number> => {
+  const found = await platform.configStore.readConfiguration(store);
+  if (!found.ok) {
+    output.printError('the key-value service does not answer');
+    return output.EXIT.unreachable;
+  }
+  const rollouts = found.value?.models.rollouts ?? [];
+  if (options.json === true) {
+    output.printJson(rollouts);
+    return output.EXIT.ok;
+  }
+  output.printLine(
+    output.renderTable(
+      ['model', 'from', 'to', 'state', 'step', 'share'],
+      rollouts.map((rollout) => [
+        rollout.model,
+        rollout.from,
+        rollout.to,
+        rollout.state,
+        `${rollout.step + 1} of ${rollout.steps.length}`,
+        `${rollout.steps[rollout.step] ?? 0} %`,
+      ]),
+    ),
+  );
+  return output.EXIT.ok;
+};
+
+const parseSteps = (text: string | undefined): readonly number[] | undefined =>
+  text === undefined ? undefined : String(text).split(',').map(Number);
+
+const makeEdit =
+  (
+    action: platform.rolloutEdits.RolloutAction,
+    edit: platform.rolloutEdits.RolloutTarget,
+  ): platform.configEdits.ListEdit =>
+  (lists) => {
+    if (lists === null) {
+      return shared.outcome.makeFailed('there is no configuration yet');
+    }
+    const models = platform.rolloutEdits.editRollout(lists.models, action, edit);
+    return models.ok ? shared.outcome.makeOk({ plans: lists.plans, models: models.value }) : models;
+  };
+
+const printProblem = (error: platform.configEdits.EditError): number => {
+  if (error.kind === 'rejected') {
+    output.printError(error.reason);
+    return output.EXIT.failed;
+  }
+  if (error.kind === 'invalid') {
+    output.printError(error.problems.join('\n'));
+    return output.EXIT.failed;
+  }
+  output.printError(
+    error.kind === 'conflict'
+      ? 'other changes kept coming first; nothing was applied'
+      : 'the key-value service does not answer',
+  );
+  return error.kind === 'conflict' ? output.EXIT.conflict : output.EXIT.unreachable;
+};
+
+const changeRollout = async (
+  store: platform.keyValueStore.KeyValueStore,
+  action: platform.rolloutEdits.RolloutAction,
+  model: string,
+  version: string,
+  options: RolloutOptions,
+): Promise<number> => {
+  const steps = parseSteps(options.steps);
+  const edit = makeEdit(action, { model, version, ...(steps === undefined ? {} : { steps }) });
+  const result = await platform.configEdits.editWithRetry(store, edit);
+  if (!result.ok) {
+    return printProblem(result.error);
+  }
+  const { generation } = result.value;
+  output.printLine(
+    options.json === true
+      ? JSON.stringify({ generation })
+      : `${action} of ${model}@${version} applied as generation ${generation}`,
+  );
+  return options.wait === true ? waitForce.waitInForce(generation, options) : output.EXIT.ok;
+};
+
+/** Runs `rollout` with an action. */
+export const runRollout = async (
+  action: string,
+  model: string | undefined,
+  version: string | undefined,
+  options: RolloutOptions,
+): Promise<number> => {
+  const isChange = ACTIONS.has(action) && model !== undefined && version !== undefined;
+  if (action !== 'status' && !isChange) {
+    output.printError(
+      'usage: jayrock rollout status | start|advance|pause|resume|finish|withdraw MODEL VERSION',
+    );
+    return output.EXIT.usage;
+  }
+  const store = target.openStore(options);
+  if (!store.ok) {
+    output.printError(store.error);
+    return output.EXIT.usage;
+  }
+  const code = isChange
+    ? await changeRollout(
+        store.value,
+        action as platform.rolloutEdits.RolloutAction,
+        model,
+        version,
+        options,
+      )
+    : await printRollouts(store.value, options);
+  await store.value.close();
+  return code;
+};
--- /dev/null
+++ b/packages/cli/src/commands/slo.ts
@@ -0,0 +1,88 @@
+import * as fs from 'node:fs';
+import * as burn from '../burn.js';
+import * as output from '../output.js';
+import * as target from '../target.js';
+
+/** Options of `slo`. */
+export interface SloOptions extends target.TargetOptions {
+  readonly html?: string;
+}
+
+const sumBuckets = (
+  level: burn.MergedLevel,
+  getCount: (bucket: burn.LevelBucket) => number,
+): number => level.buckets.reduce((sum, bucket) => sum + getCount(bucket), 0);
+
+const printLevels = (levels: readonly burn.MergedLevel[], nowMs: number): void => {
+  output.printLine(
+    output.renderTable(
+      [
+        'plan',
+        'model',
+        'requests',
+        'errors',
+        'truncated',
+        'first token p50/p95/p99 ms',
+        'between tokens p95 ms',
+      ],
+      levels.map((level) => [
+        level.plan,
+        level.model,
+        sumBuckets(level, (bucket) => bucket.total),
+        sumBuckets(level, (bucket) => bucket.errors),
+        sumBuckets(level, (bucket) => bucket.truncated),
+        [50, 95, 99].map((share) => level.firstToken.getValueAtPercentile(share)).join(' / '),
+        level.interToken.getValueAtPercentile(95),
+      ]),
+    ),
+  );
+  output.printLine(
+    output.renderTable(
+      ['plan', 'model', 'objective', 'windows', 'short burn', 'long burn', 'alert'],
+      levels.flatMap((level) =>
+        burn
+          .listBurn(level, nowMs)
+          .map((row) => [
+            level.plan,
+            level.model,
+            row.objective,
+            row.pair,
+            row.short.toFixed(2),
+            row.long.toFixed(2),
+            row.isAlerting ? 'YES' : '',
+          ]),
+      ),
+    ),
+  );
+};
+
+/** Prints service levels and burn, merged over the routers named. */
+export const runSlo = async (options: SloOptions): Promise<number> => {
+  const routers = target.listRouters(options);
+  if (!routers.ok) {
+    output.printError(routers.error);
+    return output.EXIT.usage;
+  }
+  const pages = await Promise.all(
+    routers.value.map((address) => target.fetchPage<readonly burn.LevelReport[]>(address, '/slo')),
+  );
+  const levels = burn.mergeReports(pages.flatMap((page) => page ?? []));
+  const nowMs = Date.now();
+  if (options.html !== undefined) {
+    // The plotting library is large, so only this command's page loads it.
+    const burnPage = await import('../burnPage.js');
+    fs.writeFileSync(options.html, await burnPage.renderBurnPage(levels, nowMs));
+    output.printLine(`written to ${options.html}`);
+  } else if (options.json === true) {
+    output.printJson(
+      levels.map((level) => ({
+        plan: level.plan,
+        model: level.model,
+        burn: burn.listBurn(level, nowMs),
+      })),
+    );
+  } else {
+    printLevels(levels, nowMs);
+  }
+  return pages.every((page) => page !== null) ? output.EXIT.ok : output.EXIT.unreachable;
+};
--- /dev/null
+++ b/packages/cli/src/commands/waitForce.ts
@@ -0,0 +1,71 @@
+import * as output from '../output.js';
+import * as target from '../target.js';
+
+/** Time for a change to be in force everywhere, in milliseconds. */
+const WAIT_MS = 15_000;
+const POLL_MS = 250;
+
+interface StatusPage {
+  readonly zone: string;
+  readonly generation: number;
+}
+
+interface Reached {
+  readonly address: string;
+  readonly page: StatusPage | null;
+}
+
+const readAll = (addresses: readonly string[]): Promise<readonly Reached[]> =>
+  Promise.all(
+    addresses.map(async (address) => ({
+      address,
+      page: await target.fetchPage<StatusPage>(address, '/status'),
+    })),
+  );
+
+const isInForce = (generation: number, one: Reached): boolean =>
+  one.page !== null && one.page.generation >= generation;
+
+const wait = (delayMs: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, delayMs);
+  });
+
+const pollUntil = async (
+  generation: number,
+  addresses: readonly string[],
+  untilMs: number,
+): Promise<readonly Reached[]> => {
+  const reached = await readAll(addresses);
+  if (reached.every((one) => isInForce(generation, one)) || Date.now() > untilMs) {
+    return reached;
+  }
+  await wait(POLL_MS);
+  return pollUntil(generation, addresses, untilMs);
+};
+
+const describe = (generation: number, one: Reached): string => {
+  if (one.page === null) {
+    return 'not reached';
+  }
+  return isInForce(generation, one) ? 'in force' : `still at ${one.page.generation}`;
+};
+
+/** Waits until a generation is in force on the routers named, and prints where it is. */
+export const waitInForce = async (
+  generation: number,
+  options: target.TargetOptions,
+): Promise<number> => {
+  const routers = target.listRouters(options);
+  if (!routers.ok) {
+    output.printError(routers.error);
+    return output.EXIT.usage;
+  }
+  const reached = await pollUntil(generation, routers.value, Date.now() + WAIT_MS);
+  reached.forEach((one) =>
+    output.printLine(`${one.address} ${one.page?.zone ?? '?'}: ${describe(generation, one)}`),
+  );
+  return reached.every((one) => isInForce(generation, one))
+    ? output.EXIT.ok
+    : output.EXIT.unreachable;
+};
--- a/packages/platform/src/configStore.ts
+++ b/packages/platform/src/configStore.ts
@@ -7,16 +7,23 @@
 const PART_PREFIX = 'config/parts/';
 /** Largest part, in characters; below the service's value limit of one megabyte. */
 const MAX_PART_CHARACTERS = 256 * 1_024;
-/** Edits remembered in the head. */
+/** Edits remembered in the head, whose parts can still be read. */
 const MAX_EDITS = 32;
 
+const editSchema = zod.object({
+  id: zod.string(),
+  generation: zod.number().int(),
+  plans: zod.array(zod.string()),
+  models: zod.array(zod.string()),
+});
+
 const headSchema = zod.object({
   generation: zod.number().int().min(1),
   plans: zod.array(zod.string()),
   models: zod.array(zod.string()),
   signingKey: zod.string(),
-  /** Identifiers of the latest edits, newest first, by which a lost answer is settled. */
-  edits: zod.array(zod.string()),
+  /** The latest edits, newest first, by which lost answers are settled and conflicts shown. */
+  edits: zod.array(editSchema),
 });
 
 /** The head of the configuration: its generation and the digests of its parts. */
@@ -136,6 +143,22 @@
   });
 };
 
+/** Reads a generation that the head still remembers, or null. */
+export const readGeneration = async (
+  store: keyValueStore.KeyValueStore,
+  generation: number,
+): Promise<ConfigOutcome<shared.lists.Configuration | null>> => {
+  const found = await readHead(store);
+  if (!found.ok) {
+    return found;
+  }
+  const { head } = found.value;
+  const edit = head?.edits.find((item) => item.generation === generation);
+  return head === null || edit === undefined
+    ? shared.outcome.makeOk(null)
+    : fetchConfiguration(store, { ...head, ...edit });
+};
+
 /** Reads the configuration that is in force in the store, or null before the first one. */
 export const readConfiguration = async (
   store: keyValueStore.KeyValueStore,
@@ -178,7 +201,15 @@
   plans: plans.map(shared.hash.hashDigest),
   models: models.map(shared.hash.hashDigest),
   signingKey: configuration.signingKey,
-  edits: [shared.requestId.makeRequestId(), ...(before?.edits ?? [])].slice(0, MAX_EDITS),
+  edits: [
+    {
+      id: shared.requestId.makeRequestId(),
+      generation: configuration.generation,
+      plans: plans.map(shared.hash.hashDigest),
+      models: models.map(shared.hash.hashDigest),
+    },
+    ...(before?.edits ?? []),
+  ].slice(0, MAX_EDITS),
 });
 
 /**
@@ -193,8 +224,9 @@
   if (!read.ok) {
     return read;
   }
-  const edit = written.edits[0] ?? '';
-  return shared.outcome.makeOk(read.value.head?.edits.includes(edit) === true);
+  const id = written.edits[0]?.id;
+  const edits = read.value.head?.edits ?? [];
+  return shared.outcome.makeOk(edits.some((edit) => edit.id === id));
 };
 
 const failWithConflict = async (
--- a/packages/router/src/serviceLevels.ts
+++ b/packages/router/src/serviceLevels.ts
@@ -1,4 +1,5 @@
 import type * as core from '@jayrock/core';
+import type * as shared from '@jayrock/shared';
 import * as hdr from 'hdr-histogram-js';
 import type * as pendingRequest from './pendingRequest.js';
 
@@ -24,6 +25,7 @@
 export interface LevelReport {
   readonly plan: string;
   readonly model: string;
+  readonly targets: shared.lists.Targets;
   readonly buckets: readonly LevelBucket[];
   /** Encoded histograms, in milliseconds. */
   readonly firstToken: string;
@@ -33,6 +35,7 @@
 interface Series {
   readonly plan: string;
   readonly model: string;
+  targets: shared.lists.Targets;
   readonly firstToken: hdr.Histogram;
   readonly interToken: hdr.Histogram;
   buckets: readonly LevelBucket[];
@@ -54,9 +57,10 @@
     numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
   });
 
-const makeSeries = (plan: string, model: string): Series => ({
-  plan,
+const makeSeries = (plan: shared.lists.Plan, model: string): Series => ({
+  plan: plan.name,
   model,
+  targets: plan.targets,
   firstToken: makeHistogram(),
   interToken: makeHistogram(),
   buckets: [],
@@ -125,7 +129,8 @@
       }
       const model = pending.versionId.split('@')[0] || pending.shape.target;
       const key = `${plan.name}|${model}`;
-      const series = table.get(key) ?? makeSeries(plan.name, model);
+      const series = table.get(key) ?? makeSeries(plan, model);
+      series.targets = plan.targets;
       table.set(key, series);
       const firstTokenMs =
         pending.firstTokenAtMs === null ? null : pending.firstTokenAtMs - pending.arrivedAtMs;
@@ -151,6 +156,7 @@
       Array.from(table.values()).map((series) => ({
         plan: series.plan,
         model: series.model,
+        targets: series.targets,
         buckets: series.buckets,
         firstToken: hdr.encodeIntoCompressedBase64(series.firstToken),
         interToken: hdr.encodeIntoCompressedBase64(series.interToken),
--- a/packages/shared/src/jsonc.ts
+++ b/packages/shared/src/jsonc.ts
@@ -48,6 +48,12 @@
   };
 };
 
+/** Lists the top-level fields of JSON with comments, as far as it can be read. */
+export const listFields = (text: string): readonly string[] => {
+  const value: unknown = jsonc.parse(text);
+  return typeof value === 'object' && value !== null ? Object.keys(value) : [];
+};
+
 /** Parses JSON with comments and checks it against a schema. */
 export const parseJsonc = <T>(
   file: string,
