--- a/packages-private/stand-ins/src/engine.ts
+++ b/packages-private/stand-ins/src/engine.ts
@@ -10,6 +10,8 @@
   readonly port?: number;
   readonly slots: number;
   readonly loaded: readonly string[];
+  /** True for an engine that refuses orders with an old fencing number. */
+  readonly checksFencing?: boolean;
   /** Time between two tokens, in milliseconds. */
   readonly msPerToken: number;
   /** Time to read a thousand prompt tokens, in milliseconds. */
@@ -27,6 +29,9 @@
   readonly getPoisonings: () => number;
   /** Makes all connections that are open now go silent; new ones work. */
   readonly silence: () => void;
+  /** Orders received, refused ones among them. */
+  readonly orders: readonly { readonly fencing: number; readonly loaded: readonly string[] }[];
+  readonly getLoaded: () => readonly string[];
   readonly setLoaded: (versions: readonly string[]) => void;
   /** Breaks all connections and stops listening for a time, as a crash would. */
   readonly crash: (downMs: number) => Promise<void>;
@@ -100,6 +105,8 @@
   const isSilent = (response: http.ServerResponse): boolean =>
     response.socket !== null && silentSockets.has(response.socket);
   let hasCrashed = false;
+  let highestFencing = 0;
+  const orders: { readonly fencing: number; readonly loaded: string[] }[] = [];
 
   const admit = (): void => {
     while (running.length < options.slots && waiting.length > 0) {
@@ -159,6 +166,16 @@
       slots: options.slots,
       loaded,
     }));
+    server.post('/orders', async (request, reply) => {
+      const order = request.body as { readonly fencing: number; readonly loaded: string[] };
+      orders.push(order);
+      if (options.checksFencing === true && order.fencing < highestFencing) {
+        return reply.code(409).send({ error: 'old fencing number' });
+      }
+      highestFencing = Math.max(highestFencing, order.fencing);
+      loaded = [...order.loaded];
+      return { loaded };
+    });
     server.post('/v1/chat/completions', async (request, reply) => {
       const body = request.body as ChatBody;
       const prompt = body.messages.map((message) => message.content).join('\n');
@@ -212,6 +229,8 @@
     address,
     faults,
     starts,
+    orders,
+    getLoaded: () => loaded,
     startedRequests,
     getPoisonings: () => state.poisonings,
     silence: () => sockets.forEach((socket) => silentSockets.add(socket)),
--- a/packages/core/__tests__/fixtures.ts
+++ b/packages/core/__tests__/fixtures.ts
@@ -103,7 +103,8 @@
     policy,
   );
   let effects: readonly core.effects.Effect[] = [];
-  let clockMs = 0;
+  // Time zero means "never" in the state, as it does for clocks that count from 1970.
+  let clockMs = 1;
   return {
     send: (event, nowMs = clockMs) => {
       clockMs = nowMs;
--- a/packages/core/src/admission.ts
+++ b/packages/core/src/admission.ts
@@ -7,12 +7,14 @@
 import * as ledgerBook from './ledger/ledgerBook.js';
 import * as learning from './learning.js';
 import type * as policy from './policy.js';
+import * as demand from './orders/demand.js';
 import * as quarantine from './quarantine.js';
 import * as random from './random.js';
 import * as refusal from './refusal.js';
 import * as requestState from './requestState.js';
 import * as routerState from './routerState.js';
 import type * as step from './step.js';
+import * as versionId from './versionId.js';
 import * as versionChoice from './versionChoice.js';
 
 /** Expected length from which work counts as long, in tokens. */
@@ -317,6 +319,37 @@
   return isBlocked(current, arrival) ? 'quarantined' : null;
 };
 
+const countDemand = (
+  current: routerState.RouterState,
+  requests: readonly requestState.RequestState[],
+  arrival: Arrival,
+): routerState.RouterState => {
+  const [first] = requests;
+  if (first === undefined || arrival.shape.kind !== 'chat') {
+    return current;
+  }
+  const model = versionId.getModelName(first.versionId);
+  const cost = requestState.estimateCost(first);
+  return { ...current, demand: demand.addDemand(current.demand, model, cost, arrival.nowMs) };
+};
+
+/** Work for a model that runs nowhere is demand all the same, by which it gets loaded. */
+const countUnserved = (
+  current: routerState.RouterState,
+  config: configView.ConfigView,
+  caller: Caller,
+  arrival: Arrival,
+  code: shared.errorCodes.ErrorCode,
+): routerState.RouterState => {
+  const [model] = code === 'noUpstream' ? listModels(config, arrival, caller) : [];
+  return model === undefined
+    ? current
+    : {
+        ...current,
+        demand: demand.addDemand(current.demand, model, arrival.shape.maxTokens, arrival.nowMs),
+      };
+};
+
 const handleRequestArrived = (current: routerState.RouterState, arrival: Arrival): step.Step => {
   const { config } = current;
   if (config === null) {
@@ -332,8 +365,12 @@
   }
   const routing = ROUTING_HANDLERS[arrival.shape.kind](current, config, arrival, caller);
   return routing.ok
-    ? admit(current, routing.requests, arrival)
-    : refusal.refuseArrival(current, arrival.requestId, routing.code);
+    ? admit(countDemand(current, routing.requests, arrival), routing.requests, arrival)
+    : refusal.refuseArrival(
+        countUnserved(current, config, caller, arrival, routing.code),
+        arrival.requestId,
+        routing.code,
+      );
 };
 
 /** Handlers of arriving requests. */
--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -89,6 +89,12 @@
   };
   readonly writeEntries: { readonly entries: readonly shared.ledgerEntry.LedgerEntry[] };
   readonly releaseEntries: { readonly requestIds: readonly string[] };
+  readonly sendOrder: {
+    readonly upstreamId: string;
+    readonly address: string;
+    /** All versions the engine should have loaded. */
+    readonly loaded: readonly versionId.VersionId[];
+  };
   readonly log: { readonly message: string; readonly fields: Readonly<Record<string, unknown>> };
 }
 
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -1,5 +1,6 @@
 import type * as shared from '@jayrock/shared';
 import type * as claimLog from './claims/claimLog.js';
+import type * as demand from './orders/demand.js';
 import type * as member from './membership/member.js';
 import type * as requestState from './requestState.js';
 import type * as versionId from './versionId.js';
@@ -104,6 +105,9 @@
     readonly isWritten: boolean;
   };
   readonly ledgerDue: Readonly<Record<never, never>>;
+  /** The zone's lease for orders is held. */
+  readonly ordersDue: Readonly<Record<never, never>>;
+  readonly demandTold: { readonly source: string; readonly rows: readonly demand.DemandRow[] };
   readonly ticked: Readonly<Record<never, never>>;
   readonly stopRequested: Readonly<Record<never, never>>;
 }
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -5,6 +5,7 @@
 import type * as events from './events.js';
 import * as health from './health.js';
 import * as learning from './learning.js';
+import * as demand from './orders/demand.js';
 import * as reroute from './reroute.js';
 import * as rollouts from './rollouts.js';
 import type * as routerState from './routerState.js';
@@ -64,6 +65,7 @@
     config,
     confirmedAtMs: event.nowMs,
     learning: learning.forgetVersions(followed.learning, (id) => config.versions.has(id)),
+    demand: demand.forgetModels(followed.demand, (model) => config.models.has(model)),
     planQuality: followed.planQuality.filter((_, plan) => config.plans.has(plan)),
     retryBudgets: followed.retryBudgets.filter((_, customer) => config.customers.has(customer)),
   });
--- /dev/null
+++ b/packages/core/src/orders/demand.ts
@@ -0,0 +1,86 @@
+import * as immutable from 'immutable';
+
+/** Work asked of one model, in tokens a second, fading over time. */
+export interface DemandRate {
+  readonly rate: number;
+  readonly atMs: number;
+}
+
+/** Demand of one model as routers tell it to each other. */
+export interface DemandRow {
+  readonly model: string;
+  /** Tokens a second. */
+  readonly rate: number;
+}
+
+/** Demand seen here and told by the zone's other routers. */
+export interface DemandState {
+  readonly own: immutable.Map<string, DemandRate>;
+  readonly told: immutable.Map<
+    string,
+    { readonly rows: readonly DemandRow[]; readonly atMs: number }
+  >;
+}
+
+/** Time over which demand is averaged, in milliseconds. */
+const AVERAGE_MS = 30_000;
+/** Age past which another router's demand no longer counts, in milliseconds. */
+const TOLD_TTL_MS = 15_000;
+const MS_PER_SECOND = 1_000;
+
+/** No demand. */
+export const EMPTY_DEMAND: DemandState = { own: immutable.Map(), told: immutable.Map() };
+
+const fadeRate = (known: DemandRate, nowMs: number): number =>
+  known.rate * Math.exp(-(nowMs - known.atMs) / AVERAGE_MS);
+
+/** Adds work asked of a model, in tokens. */
+export const addDemand = (
+  demand: DemandState,
+  model: string,
+  cost: number,
+  nowMs: number,
+): DemandState => {
+  const known = demand.own.get(model, { rate: 0, atMs: nowMs });
+  const rate = fadeRate(known, nowMs) + (cost * MS_PER_SECOND) / AVERAGE_MS;
+  return { ...demand, own: demand.own.set(model, { rate, atMs: nowMs }) };
+};
+
+/** Lists this router's demand. */
+export const listDemand = (demand: DemandState, nowMs: number): readonly DemandRow[] =>
+  demand.own
+    .entrySeq()
+    .map(([model, known]) => ({ model, rate: fadeRate(known, nowMs) }))
+    .toArray();
+
+/** Replaces what another router last told. */
+export const mergeDemand = (
+  demand: DemandState,
+  source: string,
+  rows: readonly DemandRow[],
+  nowMs: number,
+): DemandState => ({
+  ...demand,
+  told: demand.told
+    .filter((known) => nowMs - known.atMs < TOLD_TTL_MS)
+    .set(source, { rows, atMs: nowMs }),
+});
+
+/** Sums the demand of a zone, by model. */
+export const sumDemand = (demand: DemandState, nowMs: number): ReadonlyMap<string, number> => {
+  const told = demand.told
+    .valueSeq()
+    .filter((known) => nowMs - known.atMs < TOLD_TTL_MS)
+    .flatMap((known) => known.rows)
+    .toArray();
+  return [...listDemand(demand, nowMs), ...told].reduce(
+    (sums, row) => new Map(sums).set(row.model, (sums.get(row.model) ?? 0) + row.rate),
+    new Map<string, number>(),
+  );
+};
+
+/** Drops models that no list names any more. */
+export const forgetModels = (
+  demand: DemandState,
+  isKnown: (model: string) => boolean,
+): DemandState => ({ ...demand, own: demand.own.filter((_, model) => isKnown(model)) });
--- /dev/null
+++ b/packages/core/src/orders/orders.ts
@@ -0,0 +1,132 @@
+import * as immutable from 'immutable';
+import type * as effects from '../effects.js';
+import type * as events from '../events.js';
+import type * as routerState from '../routerState.js';
+import * as step from '../step.js';
+import type * as versionId from '../versionId.js';
+import * as demand from './demand.js';
+import * as planner from './planner.js';
+
+/** What the sender of orders remembers between two rounds. */
+export interface OrdersState {
+  readonly lastLoadAtMs: number;
+  /** Since when a version has more engines than it needs. */
+  readonly surplusSince: immutable.Map<versionId.VersionId, number>;
+}
+
+/** Shortest time between two loads in a zone, as the weight store is rate-limited, in milliseconds. */
+export const LOAD_PAUSE_MS = 10_000;
+/** Time for which a surplus must last before a version is given up somewhere, in milliseconds. */
+export const SURPLUS_MS = 60_000;
+/** Engines above the need that are no surplus, so that small swings change nothing. */
+const SURPLUS_MARGIN = 1;
+
+/** Orders before the first round. */
+export const EMPTY_ORDERS: OrdersState = {
+  lastLoadAtMs: -LOAD_PAUSE_MS,
+  surplusSince: immutable.Map(),
+};
+
+const makeQuery = (current: routerState.RouterState, nowMs: number): planner.PlanQuery | null =>
+  current.config === null
+    ? null
+    : {
+        config: current.config,
+        engines: current.upstreams
+          .valueSeq()
+          .filter(
+            (upstream) =>
+              upstream.host.zone === current.self.zone &&
+              upstream.host.state === 'live' &&
+              upstream.reportedAtMs > 0 &&
+              current.config?.services.get(upstream.host.service)?.kind === 'engines',
+          )
+          .toArray(),
+        demand: demand.sumDemand(current.demand, nowMs),
+      };
+
+const hasSurplus = (need: planner.VersionNeed): boolean =>
+  need.wanted === 0 ? need.holders.length > 0 : need.holders.length > need.wanted + SURPLUS_MARGIN;
+
+const trackSurplus = (
+  known: immutable.Map<versionId.VersionId, number>,
+  needs: readonly planner.VersionNeed[],
+  nowMs: number,
+): immutable.Map<versionId.VersionId, number> =>
+  immutable.Map(
+    needs.filter(hasSurplus).map((need) => [need.id, known.get(need.id, nowMs)] as const),
+  );
+
+type Order = effects.EffectOf<'sendOrder'>;
+
+/** An order states the whole set of versions an engine should have, so sending it twice is harmless. */
+const planLoad = (
+  query: planner.PlanQuery,
+  needs: readonly planner.VersionNeed[],
+): Order | null => {
+  const need = needs
+    .filter((one) => one.holders.length < one.wanted)
+    .toSorted((a, b) => a.holders.length - b.holders.length)
+    .at(0);
+  const engine = need === undefined ? undefined : planner.pickLoader(query, need);
+  return need === undefined || engine === undefined
+    ? null
+    : {
+        type: 'sendOrder',
+        upstreamId: engine.host.id,
+        address: engine.host.address,
+        loaded: [...engine.loaded, need.id],
+      };
+};
+
+const planUnload = (
+  needs: readonly planner.VersionNeed[],
+  surplusSince: immutable.Map<versionId.VersionId, number>,
+  nowMs: number,
+): Order | null => {
+  const need = needs.find((one) => nowMs - surplusSince.get(one.id, nowMs) >= SURPLUS_MS);
+  const engine = need === undefined ? undefined : planner.pickUnloader(need);
+  return need === undefined || engine === undefined
+    ? null
+    : {
+        type: 'sendOrder',
+        upstreamId: engine.host.id,
+        address: engine.host.address,
+        loaded: engine.loaded.filter((id) => id !== need.id),
+      };
+};
+
+const handleOrdersDue = (
+  current: routerState.RouterState,
+  event: events.EventOf<'ordersDue'>,
+): step.Step => {
+  const query = makeQuery(current, event.nowMs);
+  if (query === null) {
+    return step.makeStep(current);
+  }
+  const needs = planner.listNeeds(query);
+  const surplusSince = trackSurplus(current.orders.surplusSince, needs, event.nowMs);
+  const mayLoad = event.nowMs - current.orders.lastLoadAtMs >= LOAD_PAUSE_MS;
+  const load = mayLoad ? planLoad(query, needs) : null;
+  const order = load ?? planUnload(needs, surplusSince, event.nowMs);
+  const orders: OrdersState = {
+    lastLoadAtMs: load === null ? current.orders.lastLoadAtMs : event.nowMs,
+    surplusSince,
+  };
+  return step.makeStep({ ...current, orders }, ...(order === null ? [] : [order]));
+};
+
+const handleDemandTold = (
+  current: routerState.RouterState,
+  event: events.EventOf<'demandTold'>,
+): step.Step =>
+  step.makeStep({
+    ...current,
+    demand: demand.mergeDemand(current.demand, event.source, event.rows, event.nowMs),
+  });
+
+/** Handlers of the events that concern orders to engines. */
+export const HANDLERS = {
+  ordersDue: handleOrdersDue,
+  demandTold: handleDemandTold,
+} as const;
--- /dev/null
+++ b/packages/core/src/orders/planner.ts
@@ -0,0 +1,87 @@
+import type * as configView from '../configView.js';
+import type * as upstreamState from '../upstreamState.js';
+import type * as versionId from '../versionId.js';
+
+/** What a plan of loaded versions is made from. */
+export interface PlanQuery {
+  readonly config: configView.ConfigView;
+  /** Live engines of the zone. */
+  readonly engines: readonly upstreamState.UpstreamState[];
+  /** Tokens a second asked of each model. */
+  readonly demand: ReadonlyMap<string, number>;
+}
+
+/** How many engines a version has and should have. */
+export interface VersionNeed {
+  readonly id: versionId.VersionId;
+  readonly wanted: number;
+  readonly holders: readonly upstreamState.UpstreamState[];
+}
+
+/** Tokens a second that one slot of an engine is taken to generate. */
+const TOKENS_PER_SLOT = 20;
+/** Share of an engine's capacity that planned demand may fill. */
+const TARGET_SHARE = 0.7;
+/** Engines that keep a version without demand, so that one host's loss does not end it. */
+const MIN_HOLDERS = 2;
+
+const isServed = (config: configView.ConfigView, info: configView.VersionInfo): boolean => {
+  const rollout = config.rollouts.get(info.model);
+  return (
+    info.state === 'stable' ||
+    (info.state === 'candidate' && rollout?.to === info.version && rollout.state !== 'halted')
+  );
+};
+
+/** Share of a model's demand that a version is expected to get. */
+const getShare = (config: configView.ConfigView, info: configView.VersionInfo): number => {
+  const rollout = config.rollouts.get(info.model);
+  if (rollout === undefined) {
+    return 1;
+  }
+  const candidate = (rollout.steps[rollout.step] ?? 0) / 100;
+  return rollout.to === info.version ? candidate : 1 - candidate;
+};
+
+const computeCapacity = (engine: upstreamState.UpstreamState): number =>
+  engine.slots * TOKENS_PER_SLOT * TARGET_SHARE;
+
+const makeNeed = (query: PlanQuery, info: configView.VersionInfo): VersionNeed => {
+  const engines = query.engines.filter((engine) => engine.host.service === info.service);
+  const asked = (query.demand.get(info.model) ?? 0) * getShare(query.config, info);
+  const perEngine =
+    engines.reduce((sum, engine) => sum + computeCapacity(engine), 0) / Math.max(1, engines.length);
+  const byDemand = perEngine > 0 ? Math.ceil(asked / perEngine) : 0;
+  const wanted = isServed(query.config, info) ? Math.max(MIN_HOLDERS, byDemand) : 0;
+  return {
+    id: info.id,
+    wanted: Math.min(wanted, engines.length),
+    holders: engines.filter((engine) => engine.loaded.includes(info.id)),
+  };
+};
+
+/** Lists what every version of the lists needs in a zone. */
+export const listNeeds = (query: PlanQuery): readonly VersionNeed[] =>
+  Array.from(query.config.versions.values()).map((info) => makeNeed(query, info));
+
+const compareForLoading = (
+  a: upstreamState.UpstreamState,
+  b: upstreamState.UpstreamState,
+): number =>
+  a.loaded.length - b.loaded.length || a.inFlight - b.inFlight || (a.host.id < b.host.id ? -1 : 1);
+
+/** Picks the engine that should load a version next. */
+export const pickLoader = (
+  query: PlanQuery,
+  need: VersionNeed,
+): upstreamState.UpstreamState | undefined => {
+  const service = query.config.versions.get(need.id)?.service;
+  return query.engines
+    .filter((engine) => engine.host.service === service && !engine.loaded.includes(need.id))
+    .toSorted(compareForLoading)
+    .at(0);
+};
+
+/** Picks the engine that should give a version up next. */
+export const pickUnloader = (need: VersionNeed): upstreamState.UpstreamState | undefined =>
+  need.holders.toSorted((a, b) => compareForLoading(b, a)).at(0);
--- a/packages/core/src/reduce.ts
+++ b/packages/core/src/reduce.ts
@@ -7,6 +7,7 @@
 import * as health from './health.js';
 import * as ledgerBook from './ledger/ledgerBook.js';
 import * as membership from './membership/membership.js';
+import * as orders from './orders/orders.js';
 import * as reroute from './reroute.js';
 import * as rollouts from './rollouts.js';
 import type * as routerState from './routerState.js';
@@ -28,6 +29,7 @@
   ...health.HANDLERS,
   ...ledgerBook.HANDLERS,
   ...membership.HANDLERS,
+  ...orders.HANDLERS,
   ...rollouts.HANDLERS,
 };
 
--- a/packages/core/src/routerState.ts
+++ b/packages/core/src/routerState.ts
@@ -7,6 +7,8 @@
 import * as learning from './learning.js';
 import * as ledgerBook from './ledger/ledgerBook.js';
 import * as memberTable from './membership/memberTable.js';
+import * as demand from './orders/demand.js';
+import * as orders from './orders/orders.js';
 import * as policy from './policy.js';
 import * as quarantine from './quarantine.js';
 import * as ratings from './ratings.js';
@@ -55,6 +57,8 @@
   /** Claim logs this router has read or writes, by time bucket. */
   readonly claims: claimBook.ClaimBook;
   readonly ledger: ledgerBook.LedgerBook;
+  readonly demand: demand.DemandState;
+  readonly orders: orders.OrdersState;
   readonly isStopping: boolean;
 }
 
@@ -87,6 +91,8 @@
   }),
   claims: claimBook.EMPTY_BOOK,
   ledger: ledgerBook.makeBook(self.ledgerCapacity),
+  demand: demand.EMPTY_DEMAND,
+  orders: orders.EMPTY_ORDERS,
   isStopping: false,
 });
 
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -8,3 +8,4 @@
 export * as budgetedStore from './budgetedStore.js';
 export * as configEdits from './configEdits.js';
 export * as rolloutEdits from './rolloutEdits.js';
+export * as engineOrders from './engineOrders.js';
--- a/packages/platform/src/memoryStore.ts
+++ b/packages/platform/src/memoryStore.ts
@@ -102,8 +102,9 @@
 /** Wraps a memory table as the key-value service of a small site. */
 export const openMemoryStore = (
   table: MemoryTable = new MemoryTable(),
+  getNowMs: () => number = Date.now,
 ): keyValueStore.KeyValueStore => {
-  const expire = (): void => table.expireLeases(Date.now());
+  const expire = (): void => table.expireLeases(getNowMs());
   return {
     get: async (key) => {
       expire();
@@ -120,8 +121,11 @@
     deletePrefix: async (prefix) => shared.outcome.makeOk(table.deletePrefix(prefix)),
     watch: (key, onChange) => table.watch(key, onChange),
     grantLease: async (ttlSeconds) =>
-      shared.outcome.makeOk(table.grantLease(ttlSeconds * 1_000, Date.now())),
-    keepLease: async (id) => shared.outcome.makeOk(table.keepLease(id, Date.now())),
+      shared.outcome.makeOk(table.grantLease(ttlSeconds * 1_000, getNowMs())),
+    keepLease: async (id) => {
+      expire();
+      return shared.outcome.makeOk(table.keepLease(id, getNowMs()));
+    },
     close: async () => undefined,
   };
 };
--- a/packages/router/src/effectRunners.ts
+++ b/packages/router/src/effectRunners.ts
@@ -7,6 +7,7 @@
 import type * as claimService from './claims/claimService.js';
 import type * as ledgerService from './ledger/ledgerService.js';
 import type * as namedSessions from './namedSessions.js';
+import type * as orderService from './orders/orderService.js';
 import type * as peerService from './peers/peerService.js';
 import type * as pendingRequest from './pendingRequest.js';
 import type * as runtime from './runtime.js';
@@ -28,6 +29,7 @@
   readonly peers: peerService.PeerService;
   readonly levels: serviceLevels.ServiceLevels;
   readonly log: pino.Logger;
+  readonly orders: orderService.OrderService;
   readonly sessions: namedSessions.NamedSessions;
   readonly proposeRollout: (change: core.effects.EffectOf<'proposeRollout'>) => void;
 }
@@ -230,6 +232,7 @@
       effect.delayMs,
     );
   },
+  sendOrder: (effect) => context.orders.sendOrder(effect),
   answerClaim: (effect) => context.claims.answerClaim(effect),
   proposeRollout: (effect) => context.proposeRollout(effect),
   log: (effect) => context.log.info(effect.fields, effect.message),
--- /dev/null
+++ b/packages/router/src/orders/orderService.ts
@@ -0,0 +1,71 @@
+import * as core from '@jayrock/core';
+import * as platform from '@jayrock/platform';
+import type * as pino from 'pino';
+import type * as rpcClient from '../peers/rpcClient.js';
+import type * as runtime from '../runtime.js';
+import * as orderLease from './orderLease.js';
+
+/** Time between two rounds, in milliseconds. */
+const ROUND_MS = 3_000;
+
+type Order = core.effects.EffectOf<'sendOrder'>;
+
+/** Gives the zone's engines orders while this router holds the lease. */
+export interface OrderService {
+  readonly sendOrder: (order: Order) => void;
+  readonly stop: () => void;
+}
+
+/** Starts the order service of a router. */
+export const startOrderService = (
+  node: runtime.Runtime,
+  store: platform.keyValueStore.KeyValueStore,
+  client: rpcClient.RpcClient,
+  log: pino.Logger,
+): OrderService => {
+  const { zone, routerId } = node.getState().self;
+  const lease = orderLease.makeOrderLease(store, zone, routerId);
+  const tellDemand = (holder: core.member.MemberUpdate): void => {
+    const rows = core.demand.listDemand(node.getState().demand, Date.now());
+    if (rows.length > 0) {
+      client.call(holder.address, 'pushDemand', { source: routerId, rows }).catch(() => undefined);
+    }
+  };
+  const runRound = async (): Promise<void> => {
+    const { members } = node.getState();
+    const [holder] = core.duties.listHolders(members, 'engineOrders', zone, 1);
+    if (holder === undefined || holder.id !== routerId) {
+      lease.drop();
+      if (holder !== undefined) {
+        tellDemand(holder);
+      }
+      return;
+    }
+    await lease.refresh();
+    if (lease.getFencing() !== null) {
+      node.dispatch({ type: 'ordersDue' });
+    }
+  };
+  const send = async (order: Order): Promise<void> => {
+    const fencing = lease.getFencing();
+    if (fencing === null) {
+      return;
+    }
+    const result = await platform.engineOrders.sendOrder(order.address, {
+      fencing,
+      loaded: order.loaded,
+    });
+    log.info({ upstream: order.upstreamId, loaded: order.loaded, fencing, result }, 'order sent');
+    // The next load report reads the engine's state back; an engine that another holder changed
+    // meanwhile is given its wished state again in a later round.
+  };
+  const timer = setInterval(() => {
+    runRound().catch(() => undefined);
+  }, ROUND_MS);
+  return {
+    sendOrder: (order) => {
+      send(order).catch((error: unknown) => log.error({ error }, 'order failed'));
+    },
+    stop: () => clearInterval(timer),
+  };
+};
--- a/packages/router/src/peers/messages.ts
+++ b/packages/router/src/peers/messages.ts
@@ -61,6 +61,13 @@
     };
     readonly result: null;
   };
+  readonly pushDemand: {
+    readonly params: {
+      readonly source: string;
+      readonly rows: readonly core.demand.DemandRow[];
+    };
+    readonly result: null;
+  };
   readonly claim: { readonly params: ClaimMessage; readonly result: ClaimReply };
   readonly holdEntries: {
     readonly params: {
--- a/packages/router/src/peers/peerHandlers.ts
+++ b/packages/router/src/peers/peerHandlers.ts
@@ -81,6 +81,10 @@
     params.reports.forEach((item) => context.node.dispatch({ type: 'loadReported', ...item }));
     return null;
   },
+  pushDemand: (params) => {
+    context.node.dispatch({ type: 'demandTold', ...params });
+    return null;
+  },
   claim: (params) => context.claims.serveOperation(params),
   holdEntries: (params) => {
     context.node.dispatch({ type: 'entriesHeld', ...params });
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -12,6 +12,7 @@
 import * as ledgerService from './ledger/ledgerService.js';
 import * as namedSessions from './namedSessions.js';
 import * as openPlatform from './openPlatform.js';
+import * as orderService from './orders/orderService.js';
 import * as peerHandlers from './peers/peerHandlers.js';
 import * as peerService from './peers/peerService.js';
 import * as rpcClient from './peers/rpcClient.js';
@@ -72,12 +73,14 @@
   readonly ledger: ledgerService.LedgerService;
   readonly sessions: namedSessions.NamedSessions;
   readonly peers: peerService.PeerService;
+  readonly orders: orderService.OrderService;
 }
 
 const startServices = (
   node: runtime.Runtime,
   settings: shared.settings.Settings,
   opened: openPlatform.Platform,
+  log: pino.Logger,
 ): Services => {
   const client = rpcClient.makeRpcClient(settings.peerSecret, getLocalAddress(settings));
   const store = platform.budgetedStore.makeBudgetedStore(opened.store, STORE_BUDGET);
@@ -88,6 +91,7 @@
     ledger: ledgerService.startLedgerService(node, store, client),
     sessions: namedSessions.makeNamedSessions(node, client),
     peers: peerService.startPeerService(node, client),
+    orders: orderService.startOrderService(node, store, client, log),
   };
 };
 
@@ -158,7 +162,7 @@
   const pools = agents.makeAgents(getLocalAddress(settings));
   const pace = paceMonitor.startPaceMonitor(node);
   const levels = serviceLevels.makeServiceLevels();
-  const services = startServices(node, settings, opened);
+  const services = startServices(node, settings, opened, log);
   node.connect(
     effectRunners.makeEffectRunners({
       node,
@@ -206,6 +210,7 @@
     feeds.stop();
     services.peers.stop();
     services.ledger.stop();
+    services.orders.stop();
     pace.stop();
     await Promise.all([peerListener.close(), status.close()]);
     await Promise.all([pools.close(), services.client.close(), opened.close()]);
