fix(core): charge a retry to the upstream that takes it, and eject a failing probationer

Cause: the retry budget of the failing upstream was charged, which only good answers of that upstream refill, so retries of its failures soon had none; and an upstream on probation that failed was not ejected again, so it drew one request after the other.

--- a/packages-private/measure/src/faults/judge.ts
+++ b/packages-private/measure/src/faults/judge.ts
@@ -7,6 +7,8 @@
   readonly fault: string;
   readonly requests: number;
   readonly served: number;
+  /** Requests that their caller had to send again. */
+  readonly sentAgain: number;
   readonly refused: number;
   /** Acknowledged answers without an entry in the ledger. */
   readonly lost: number;
@@ -73,6 +75,7 @@
     fault,
     requests: results.length,
     served: served.length,
+    sentAgain: results.filter((tracked) => tracked.tries > 1).length,
     refused: results.length - served.length,
     lost: served.filter((tracked) => !folded.has(tracked.requestId)).length,
     duplicated: results.filter(
--- a/packages/cli/src/burnPage.ts
+++ b/packages/cli/src/burnPage.ts
@@ -6,6 +6,13 @@
 const CHART_HEIGHT = 220;
 const PERCENTILES = [50, 75, 90, 95, 99, 99.9] as const;
 
+const LEVEL_COLOR = {
+  field: 'level',
+  type: 'nominal',
+  title: 'plan / model',
+  legend: { labelLimit: 300 },
+} as const;
+
 const renderChart = async (spec: vegaLite.TopLevelSpec): Promise<string> => {
   const compiled = vegaLite.compile(spec).spec;
   const view = new vega.View(vega.parse(compiled), { renderer: 'none' });
@@ -46,8 +53,13 @@
       ),
       {
         x: { field: 'time', type: 'temporal', title: 'time' },
-        y: { field: 'burn', type: 'quantitative', title: 'burn rate (1 = budget just spent)' },
-        color: { field: 'level', type: 'nominal', title: 'plan / model' },
+        y: {
+          field: 'burn',
+          type: 'quantitative',
+          title: 'burn rate (1 = budget just spent)',
+          scale: { domainMin: 0, nice: true },
+        },
+        color: LEVEL_COLOR,
       },
     ),
   );
@@ -71,7 +83,7 @@
           sort: PERCENTILES.map(String),
         },
         y: { field: 'ms', type: 'quantitative', title: 'milliseconds', scale: { type: 'symlog' } },
-        color: { field: 'level', type: 'nominal', title: 'plan / model' },
+        color: LEVEL_COLOR,
       },
     ),
   );
--- a/packages/core/src/attempts.ts
+++ b/packages/core/src/attempts.ts
@@ -191,7 +191,7 @@
   }
   const crashed = noteCrash(noted, { ...located, request }, event);
   const recovered = step.chainStep(crashed, (next) =>
-    recovery.recoverRequest(next, request.id, located.attempt, event),
+    recovery.recoverRequest(next, request.id, event),
   );
   return step.chainStep(recovered, (next) =>
     dispatch.drainUpstream(next, located.attempt.upstreamId, event),
--- a/packages/core/src/dispatch.ts
+++ b/packages/core/src/dispatch.ts
@@ -34,6 +34,7 @@
   shape: request.shape,
   isLong: request.isLong,
   isSuspect: request.isSuspect,
+  isRetry: request.retryCount > 0,
   excluded,
   nowMs: stamp.nowMs,
   random: stamp.random,
@@ -62,6 +63,8 @@
   recentPeak: Math.max(upstream.recentPeak, upstream.inFlight + 1),
   longInFlight: upstream.longInFlight + Number(request.isLong),
   suspectInFlight: upstream.suspectInFlight + Number(request.isSuspect),
+  retryBudget:
+    request.retryCount > 0 ? budget.takeBudget(upstream.retryBudget) : upstream.retryBudget,
 });
 
 const computeHedgeDelayMs = (
--- a/packages/core/src/health.ts
+++ b/packages/core/src/health.ts
@@ -17,8 +17,10 @@
 const EJECT_OVERDUE = 3;
 /** Failures in a row that eject an upstream. */
 const EJECT_FAILURES = 3;
-/** Largest share of a service's upstreams that may be ejected at once. */
-const MAX_EJECTED_SHARE = 0.2;
+/** Largest share of a service's upstreams that may be ejected for being slow. */
+const MAX_SLOW_SHARE = 0.2;
+/** Largest share of a service's upstreams that may be ejected for failing. */
+const MAX_FAILING_SHARE = 0.7;
 /** First time an upstream stays ejected, in milliseconds. */
 const BASE_EJECTION_MS = 1_000;
 /** Longest time an upstream stays ejected, in milliseconds. */
@@ -32,20 +34,44 @@
   nowMs: number,
 ) => routerState.RouterState;
 
-const isStraggler = (upstream: upstreamState.UpstreamState, nowMs: number): boolean =>
+const isFailing = (upstream: upstreamState.UpstreamState): boolean =>
+  upstream.failuresInRow >= EJECT_FAILURES;
+
+const isSlow = (upstream: upstreamState.UpstreamState, nowMs: number): boolean =>
   (upstreamState.getFreshPace(upstream, nowMs) ?? 0) > EJECT_PACE ||
-  upstream.failuresInRow >= EJECT_FAILURES ||
   upstream.overdue >= EJECT_OVERDUE ||
   (upstream.slowness.count >= MIN_SAMPLES && upstream.slowness.value > EJECT_SLOWNESS);
 
-const hasEjectionRoom = (current: routerState.RouterState, service: string): boolean => {
+/** A slow upstream still serves something, so fewer of those may be left out than of failing ones. */
+const hasEjectionRoom = (
+  current: routerState.RouterState,
+  service: string,
+  maxShare: number,
+): boolean => {
   const peers = current.upstreams
     .valueSeq()
     .filter((one) => one.host.service === service && one.host.state === 'live')
     .toArray();
   const ejected = peers.filter((one) => one.health !== 'ok').length;
+  return ejected + 1 <= Math.max(Number(peers.length > 2), Math.floor(peers.length * maxShare));
+};
+
+const shouldEject = (
+  current: routerState.RouterState,
+  upstream: upstreamState.UpstreamState,
+  nowMs: number,
+): boolean => {
+  const { service } = upstream.host;
+  if (upstream.health === 'ejected') {
+    return false;
+  }
+  // An upstream on probation holds its place among the ejected ones already.
+  if (upstream.health === 'probation') {
+    return upstream.failuresInRow > 0;
+  }
   return (
-    ejected + 1 <= Math.max(Number(peers.length > 2), Math.floor(peers.length * MAX_EJECTED_SHARE))
+    (isFailing(upstream) && hasEjectionRoom(current, service, MAX_FAILING_SHARE)) ||
+    (isSlow(upstream, nowMs) && hasEjectionRoom(current, service, MAX_SLOW_SHARE))
   );
 };
 
@@ -68,11 +94,7 @@
 
 const EJECTION_HANDLERS: Readonly<Record<policy.Policy['ejection'], EjectionHandler>> = {
   relative: (current, upstream, nowMs) =>
-    upstream.health === 'ok' &&
-    isStraggler(upstream, nowMs) &&
-    hasEjectionRoom(current, upstream.host.service)
-      ? eject(current, upstream, nowMs)
-      : current,
+    shouldEject(current, upstream, nowMs) ? eject(current, upstream, nowMs) : current,
   off: (current) => current,
 };
 
--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -1,3 +1,4 @@
+import * as budget from './budget.js';
 import type * as laneState from './laneState.js';
 import type * as policy from './policy.js';
 import * as random from './random.js';
@@ -23,6 +24,8 @@
   readonly shape: requestState.RequestShape;
   readonly isLong: boolean;
   readonly isSuspect: boolean;
+  /** True for a retry, which must fit the upstream's retry budget. */
+  readonly isRetry: boolean;
   /** Upstreams that must not be chosen. */
   readonly excluded: readonly string[];
   readonly nowMs: number;
@@ -60,6 +63,9 @@
   !query.excluded.includes(upstream.host.id) &&
   upstream.inFlight < HEALTH_LIMITS[upstream.health] &&
   (!query.isSuspect || upstream.suspectInFlight === 0) &&
+  (!query.isRetry ||
+    current.policy.retries === 'unlimited' ||
+    budget.hasBudget(upstream.retryBudget)) &&
   (current.policy.queue === 'firstCome' || hasLongRoom(upstream, query)) &&
   hasFreeSlot(upstream, query);
 
--- a/packages/core/src/recovery.ts
+++ b/packages/core/src/recovery.ts
@@ -50,29 +50,22 @@
 type RetryBudgetHandler = (
   current: routerState.RouterState,
   request: requestState.RequestState,
-  attempt: requestState.Attempt,
 ) => routerState.RouterState | null;
 
-const takeRetryBudgets: RetryBudgetHandler = (current, request, attempt) => {
+/** The budget of the upstream that takes the retry is looked at when it is placed. */
+const takeCustomerBudget: RetryBudgetHandler = (current, request) => {
   const own = current.retryBudgets.get(request.customer) ?? budget.makeBudget(CUSTOMER_RETRY_RULE);
-  const upstream = current.upstreams.get(attempt.upstreamId);
-  const hasRoom =
-    budget.hasBudget(own) && (upstream === undefined || budget.hasBudget(upstream.retryBudget));
-  if (!hasRoom || request.retryCount >= MAX_RETRIES) {
+  if (!budget.hasBudget(own) || request.retryCount >= MAX_RETRIES) {
     return null;
   }
-  const paid = {
+  return {
     ...current,
     retryBudgets: current.retryBudgets.set(request.customer, budget.takeBudget(own)),
   };
-  return routerState.updateUpstream(paid, attempt.upstreamId, (known) => ({
-    ...known,
-    retryBudget: budget.takeBudget(known.retryBudget),
-  }));
 };
 
 const RETRY_HANDLERS: Readonly<Record<policy.Policy['retries'], RetryBudgetHandler>> = {
-  budgeted: takeRetryBudgets,
+  budgeted: takeCustomerBudget,
   unlimited: (current) => current,
 };
 
@@ -122,7 +115,6 @@
 export const recoverRequest = (
   current: routerState.RouterState,
   requestId: string,
-  attempt: requestState.Attempt,
   event: events.EventOf<'attemptFailed'>,
 ): step.Step => {
   const request = current.requests.get(requestId);
@@ -135,7 +127,7 @@
   const isLate = event.nowMs >= request.deadlineAtMs && request.tokensRelayed === 0;
   const paid =
     mayRetry(request, event) && !isLate
-      ? RETRY_HANDLERS[current.policy.retries](current, request, attempt)
+      ? RETRY_HANDLERS[current.policy.retries](current, request)
       : null;
   return paid === null
     ? refusal.refuseRequest(current, request, FAILURE_CODES[event.failure], null)
