--- a/packages/core/src/dispatch.ts
+++ b/packages/core/src/dispatch.ts
@@ -283,18 +283,20 @@
   readonly request: requestState.RequestState;
 }
 
+/** Tells whether an upstream serves what a waiting request is for. */
+const isServedBy = (
+  upstream: upstreamState.UpstreamState,
+  request: requestState.RequestState,
+): boolean => request.shape.kind === 'call' || upstream.loaded.includes(request.versionId);
+
 const canRunOn = (
   current: routerState.RouterState,
   upstream: upstreamState.UpstreamState,
   request: requestState.RequestState,
   stamp: events.Stamp,
-): boolean => {
-  const candidates = current.candidates.get(request.versionId);
-  const isCandidate =
-    candidates !== undefined &&
-    (candidates.local.includes(upstream.host.id) || candidates.remote.includes(upstream.host.id));
-  return isCandidate && placement.canAccept(current, upstream, makeQuery(request, [], stamp));
-};
+): boolean =>
+  isServedBy(upstream, request) &&
+  placement.canAccept(current, upstream, makeQuery(request, [], stamp));
 
 const findNext = (
   current: routerState.RouterState,
