fix(core): spread suspects of a crash by their fingerprints

Cause: in the experiment with a poisoned request one innocent neighbour was quarantined too; suspects of two routers, retried at once on random upstreams, met on the second engine that crashed. Each router saw only its own as alone there.

--- /dev/null
+++ b/packages/core/__tests__/quarantine.spec.ts
@@ -0,0 +1,81 @@
+import test from 'ava';
+import * as fixtures from './fixtures.js';
+
+const crash = (driver: fixtures.Driver, requestId: string, nowMs: number): void => {
+  const request = driver.getState().requests.get(requestId);
+  const attempt = request?.attempts[0];
+  if (attempt !== undefined) {
+    driver.send(
+      {
+        type: 'attemptFailed',
+        requestId,
+        attemptId: attempt.id,
+        failure: 'crashed',
+        isUnsent: false,
+        tokensRelayed: 0,
+      },
+      nowMs,
+    );
+  }
+};
+
+const retry = (driver: fixtures.Driver, requestId: string, nowMs: number): void => {
+  driver.send({ type: 'timerFired', timer: { kind: 'retry', requestId } }, nowMs);
+};
+
+test('a request present at two crashes is refused, and not run again', (t) => {
+  const driver = fixtures.makeReadyDriver();
+  fixtures.sendArrival(driver, 'poison');
+  crash(driver, 'poison', 10_000);
+  retry(driver, 'poison', 12_000);
+  crash(driver, 'poison', 12_100);
+  const codes = fixtures.pickEffects(driver.getEffects(), 'refuse').map((effect) => effect.code);
+  t.deepEqual(codes, ['quarantined']);
+  const again = fixtures.sendArrival(driver, 'again', { fingerprint: 'f-poison' }, {}, 13_000);
+  t.is(fixtures.pickEffects(again, 'refuse')[0]?.code, 'quarantined');
+  t.true(fixtures.pickEffects(again, 'refuse')[0]?.notRun);
+});
+
+test('a neighbour of one crash is tried again and cleared when it ends well', (t) => {
+  const driver = fixtures.makeReadyDriver();
+  fixtures.sendArrival(driver, 'neighbour');
+  crash(driver, 'neighbour', 10_000);
+  retry(driver, 'neighbour', 12_000);
+  driver.send(
+    { type: 'attemptEnded', requestId: 'neighbour', attemptId: 2, tokensOut: 3, isBilled: true },
+    12_500,
+  );
+  t.is(fixtures.pickEffects(driver.getEffects(), 'witnessEntry').length, 1);
+  t.is(driver.getState().quarantine.suspicions.size, 0);
+});
+
+test('two suspects are not put on one upstream', (t) => {
+  const driver = fixtures.makeReadyDriver();
+  ['a', 'b', 'c'].forEach((id) => {
+    fixtures.sendArrival(driver, id);
+    crash(driver, id, 10_000);
+  });
+  ['a', 'b', 'c'].forEach((id) => retry(driver, id, 12_000));
+  const used = ['a', 'b', 'c'].flatMap(
+    (id) =>
+      driver
+        .getState()
+        .requests.get(id)
+        ?.attempts.map((one) => one.upstreamId) ?? [],
+  );
+  t.is(new Set(used).size, used.length);
+  t.true(used.length > 0);
+});
+
+test('evidence of other routers counts, and one crash seen twice counts once', (t) => {
+  const driver = fixtures.makeReadyDriver();
+  const evidence = (crashes: readonly string[]): void => {
+    driver.send({ type: 'crashEvidenceReceived', fingerprint: 'f-x', crashes }, 10_000);
+  };
+  evidence(['engine-0@1']);
+  evidence(['engine-0@1']);
+  t.is(fixtures.pickEffects(fixtures.sendArrival(driver, 'x'), 'startAttempt').length, 1);
+  evidence(['engine-0@1', 'engine-1@2']);
+  const refused = fixtures.sendArrival(driver, 'y', { fingerprint: 'f-x' });
+  t.is(fixtures.pickEffects(refused, 'refuse')[0]?.code, 'quarantined');
+});
--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -1,3 +1,4 @@
+import * as shared from '@jayrock/shared';
 import * as budget from './budget.js';
 import type * as laneState from './laneState.js';
 import type * as policy from './policy.js';
@@ -175,9 +176,21 @@
   roundRobin: pickRoundRobin,
 };
 
+/** A suspect's fingerprint picks its upstream, so that two suspects seldom share one. */
+const pickForSuspect: PlacementHandler = (current, query) => {
+  const found = getCandidates(current, query);
+  const pool = [...found.local, ...found.remote].toSorted();
+  const start = shared.hash.hashText(query.shape.fingerprint) % Math.max(1, pool.length);
+  const ordered = [...pool.slice(start), ...pool.slice(0, start)];
+  return ordered.find((id) => findAccepting(current, id, query) !== null) ?? null;
+};
+
 /** Picks an upstream for a request, or null when none can take it now. */
 export const pickUpstream = (
   current: routerState.RouterState,
   query: PlacementQuery,
   lane: laneState.Lane,
-): string | null => PLACEMENT_HANDLERS[current.policy.upstream](current, query, lane);
+): string | null =>
+  query.isSuspect
+    ? pickForSuspect(current, query, lane)
+    : PLACEMENT_HANDLERS[current.policy.upstream](current, query, lane);
--- a/packages/core/src/recovery.ts
+++ b/packages/core/src/recovery.ts
@@ -1,4 +1,4 @@
-import type * as shared from '@jayrock/shared';
+import * as shared from '@jayrock/shared';
 import * as budget from './budget.js';
 import type * as events from './events.js';
 import type * as policy from './policy.js';
@@ -85,6 +85,15 @@
   return ceiling * (0.5 + fraction / 2);
 };
 
+/** Suspects of one crash are spread over this time, in milliseconds. */
+const SUSPECT_SPREAD_MS = 1_000;
+
+/** Suspects wait by their fingerprint, so that those of different routers seldom run together. */
+const computeDelayMs = (request: requestState.RequestState, stamp: events.Stamp): number =>
+  request.isSuspect
+    ? BASE_BACKOFF_MS + SUSPECT_SPREAD_MS * shared.hash.hashToFraction(request.shape.fingerprint)
+    : computeBackoffMs(request.retryCount, random.deriveFraction(stamp.random, 7));
+
 const scheduleRetry = (
   current: routerState.RouterState,
   request: requestState.RequestState,
@@ -99,7 +108,7 @@
     {
       type: 'armTimer',
       timer: { kind: 'retry', requestId: request.id },
-      delayMs: computeBackoffMs(request.retryCount, random.deriveFraction(stamp.random, 7)),
+      delayMs: computeDelayMs(request, stamp),
     },
   );
 
