--- a/packages-private/measure/src/measureMain.ts
+++ b/packages-private/measure/src/measureMain.ts
@@ -1,4 +1,5 @@
 import * as cac from 'cac';
+import * as falseAlarms from './policy/falseAlarms.js';
 import * as scenarios from './policy/scenarios.js';
 import * as stats from './policy/stats.js';
 
@@ -69,11 +70,28 @@
   });
 };
 
+const RAMPS = 1_000;
+
+const runFalseAlarms = (options: Options): void => {
+  if (options.only !== undefined && !'false alarms'.includes(options.only)) {
+    return;
+  }
+  const found = falseAlarms.countFalseAlarms(RAMPS, 1);
+  process.stdout.write(
+    options.json === true
+      ? `${JSON.stringify({ scenario: 'false alarms', ...found })}\n`
+      : `false alarms on a good version: ${found.alarms} in ${found.ramps} ramps   (target: under 1 in 1,000)\n`,
+  );
+};
+
 const cli = cac.cac('measure');
 cli
   .command('', 'Measure every policy against its baseline in virtual time, over five seeds')
   .option('--json', 'Print one JSON object for each row')
   .option('--only <text>', 'Run the scenarios whose name contains a text')
-  .action(run);
+  .action((options: Options) => {
+    run(options);
+    runFalseAlarms(options);
+  });
 cli.help();
 cli.parse();
