fix(router): bind outgoing connections to the own address, and time peers' calls out

Cause: the local address was given to the connector, which the HTTP client overrides, so the experiment 'zone cut off' cut nobody; and a peer whose answer was no JSON-RPC answer left its call open for ever. An experiment that failed left routers behind that the next one took for its own.

--- a/packages-private/measure/src/faults/fleet.ts
+++ b/packages-private/measure/src/faults/fleet.ts
@@ -222,7 +222,12 @@
         host.process = null;
       }
     });
-    await waitReady(host.callers);
+    const exited = new Promise<never>((_, reject) => {
+      child.once('exit', (code) => reject(new Error(`router ${host.index} exited with ${code}`)));
+    });
+    // A router that cannot start must not be taken for one that listens there already.
+    await Promise.race([waitReady(host.callers), exited]);
+    exited.catch(() => undefined);
   };
   hosts.forEach((host) =>
     writeSettings(host, options, {
--- a/packages-private/measure/src/faultsMain.ts
+++ b/packages-private/measure/src/faultsMain.ts
@@ -1,6 +1,7 @@
 import * as childProcess from 'node:child_process';
 import * as path from 'node:path';
 import * as url from 'node:url';
+import * as util from 'node:util';
 import * as cac from 'cac';
 import * as platform from '@jayrock/platform';
 import * as shared from '@jayrock/shared';
@@ -74,6 +75,8 @@
   await wait(6_000);
 };
 
+const execFile = util.promisify(childProcess.execFile);
+
 const CLI = path.resolve(
   path.dirname(url.fileURLToPath(import.meta.url)),
   '../../../../packages/cli/dist/src/main.js',
@@ -87,7 +90,8 @@
 const withdrawVersion: Fault = async (fleet, durationMs) => {
   const command = ['rollout', 'withdraw', 'clerk-small', 'v3', '--store', fleet.store.address];
   const before = countStarts(fleet, 'clerk-small@v3');
-  childProcess.execFileSync(process.execPath, [CLI, ...command]);
+  // The stand-ins live in this process, so it must not wait for the command without serving them.
+  await execFile(process.execPath, [CLI, ...command]);
   await wait(WITHDRAW_LIMIT_MS);
   const atLimit = countStarts(fleet, 'clerk-small@v3');
   await wait(durationMs);
@@ -201,6 +205,26 @@
     await runRound(0);
   };
 
+const runOnFleet = async (
+  name: string,
+  fault: Fault,
+  durationMs: number,
+  fleet: fleets.Fleet,
+): Promise<judge.Verdict> => {
+  await wait(MARGIN_MS);
+  const running = load.startLoad(fleet, { intervalMs: INTERVAL_MS, seed: name });
+  await wait(MARGIN_MS);
+  await fault(fleet, durationMs);
+  await wait(MARGIN_MS);
+  const results = await running.stop();
+  await wait(SETTLE_MS);
+  const poisonings = fleet.engines.reduce((sum, engine) => sum + engine.getPoisonings(), 0);
+  if (poisonings > 0) {
+    process.stderr.write(`${name}: ${poisonings} engines crashed by poison\n`);
+  }
+  return judge.judgeRun(name, fleet, results);
+};
+
 const runFault = async (
   name: string,
   fault: Fault,
@@ -215,20 +239,11 @@
     zones: ZONES,
     ...(logDir === undefined ? {} : { logDir }),
   });
-  await wait(3_000);
-  const running = load.startLoad(fleet, { intervalMs: INTERVAL_MS, seed: name });
-  await wait(MARGIN_MS);
-  await fault(fleet, durationMs);
-  await wait(MARGIN_MS);
-  const results = await running.stop();
-  await wait(SETTLE_MS);
-  const verdict = judge.judgeRun(name, fleet, results);
-  const poisonings = fleet.engines.reduce((sum, engine) => sum + engine.getPoisonings(), 0);
-  if (poisonings > 0) {
-    process.stderr.write(`${name}: ${poisonings} engines crashed by poison\n`);
+  try {
+    return await runOnFleet(name, fault, durationMs, fleet);
+  } finally {
+    await fleet.stop();
   }
-  await fleet.stop();
-  return verdict;
 };
 
 const HEADINGS = [
--- a/packages/core/src/versionChoice.ts
+++ b/packages/core/src/versionChoice.ts
@@ -64,17 +64,23 @@
   return findVersion(current, query.model, version);
 };
 
-/** Versions in the order in which they stand in when the preferred one cannot be used. */
+/**
+ * Versions in the order in which they stand in when the preferred one cannot be used: stable ones,
+ * then the candidate of an open roll-out, which is better than no answer once the stable is gone.
+ */
 const listFallbacks = (
   current: routerState.RouterState,
   query: VersionQuery,
 ): readonly configView.VersionInfo[] => {
   const model = current.config?.models.get(query.model);
-  const from = current.config?.rollouts.get(query.model)?.from;
-  return (model?.versions ?? [])
+  const rollout = current.config?.rollouts.get(query.model);
+  const stable = (model?.versions ?? [])
     .filter((version) => version.state === 'stable')
-    .toSorted((a, b) => Number(b.name === from) - Number(a.name === from))
-    .map((version) => findVersion(current, query.model, version.name))
+    .toSorted((a, b) => Number(b.name === rollout?.from) - Number(a.name === rollout?.from))
+    .map((version) => version.name);
+  const candidate = rollout === undefined || rollout.state === 'halted' ? [] : [rollout.to];
+  return [...stable, ...candidate]
+    .map((version) => findVersion(current, query.model, version))
     .filter((info) => info !== undefined);
 };
 
--- a/packages/platform/src/etcdStore.ts
+++ b/packages/platform/src/etcdStore.ts
@@ -94,10 +94,8 @@
 ): keyValueStore.KeyValueStore => {
   const pool = new undici.Pool(`http://${address}`, {
     connections: 16,
-    connect: {
-      timeout: CONNECT_TIMEOUT_MS,
-      ...(localAddress === undefined ? {} : { localAddress }),
-    },
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    ...(localAddress === undefined ? {} : { localAddress }),
   });
   const stopped = new AbortController();
   const call = async <T>(path: string, body: object): Promise<Outcome<T>> => {
--- /dev/null
+++ b/packages/router/__tests__/outgoing.spec.ts
@@ -0,0 +1,50 @@
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import test from 'ava';
+import * as platform from '@jayrock/platform';
+import * as rpcClient from '../src/peers/rpcClient.js';
+import * as agents from '../src/upstreams/agents.js';
+
+const OWN_ADDRESS = '127.0.3.40';
+
+interface Listener {
+  readonly address: string;
+  readonly sources: readonly (string | undefined)[];
+  readonly close: () => void;
+}
+
+/** Starts a server that notes where its connections come from. */
+const startListener = async (): Promise<Listener> => {
+  const sources: (string | undefined)[] = [];
+  const server = http.createServer((request, response) => {
+    sources.push(request.socket.remoteAddress);
+    response.setHeader('content-type', 'application/json');
+    response.end('{}');
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', () => resolve());
+  });
+  const { port } = server.address() as net.AddressInfo;
+  return {
+    address: `127.0.0.1:${port}`,
+    sources,
+    close: () => {
+      server.closeAllConnections();
+      server.close();
+    },
+  };
+};
+
+test('connections to peers, upstreams and the store come from the own address', async (t) => {
+  const listener = await startListener();
+  const client = rpcClient.makeRpcClient('a-secret-of-the-tests', OWN_ADDRESS);
+  await client.call(listener.address, 'getSession', { session: 'x' });
+  const pools = agents.makeAgents(OWN_ADDRESS);
+  const response = await pools.get(listener.address).request({ method: 'GET', path: '/' });
+  await response.body.dump();
+  const store = platform.etcdStore.openEtcdStore(listener.address, OWN_ADDRESS);
+  await store.get('key', 'other');
+  await Promise.all([client.close(), pools.close(), store.close()]);
+  listener.close();
+  t.deepEqual(listener.sources, [OWN_ADDRESS, OWN_ADDRESS, OWN_ADDRESS]);
+});
--- a/packages/router/src/openPlatform.ts
+++ b/packages/router/src/openPlatform.ts
@@ -45,7 +45,7 @@
 
 const openService = async (settings: Service, localAddress: string): Promise<Opened> => {
   const store = platform.etcdStore.openEtcdStore(settings.keyValueAddress, localAddress);
-  const outgoing = new undici.Agent({ connect: { localAddress } });
+  const outgoing = new undici.Agent({ localAddress });
   return shared.outcome.makeOk({
     store,
     hostList: platform.hostList.openHostList(settings.hostListAddress, outgoing),
--- a/packages/router/src/peers/rpcClient.ts
+++ b/packages/router/src/peers/rpcClient.ts
@@ -37,7 +37,8 @@
     connections: MAX_CONNECTIONS,
     pipelining: 1,
     keepAliveTimeout: KEEP_ALIVE_MS,
-    connect: { timeout: CONNECT_TIMEOUT_MS, localAddress },
+    localAddress,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
   });
   let bytes = 0;
   const send = async (address: string, body: string, timeoutMs: number): Promise<string> => {
@@ -65,7 +66,7 @@
       client.receive(JSON.parse(await send(address, JSON.stringify(payload), timeoutMs)));
     });
     try {
-      return { value: await client.request(method, params) };
+      return { value: await client.timeout(timeoutMs).request(method, params) };
     } catch {
       return null;
     }
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -26,7 +26,7 @@
 import * as paceMonitor from './upstreams/paceMonitor.js';
 
 /** Time between two ticks of the reducer, in milliseconds. */
-const TICK_MS = 100;
+const TICK_MS = 250;
 /** Time between two looks at whether a stopping router has finished, in milliseconds. */
 const STOP_POLL_MS = 50;
 /** Time a stopping router goes on accepting while the balancer takes it out, in milliseconds. */
--- a/packages/router/src/upstreams/agents.ts
+++ b/packages/router/src/upstreams/agents.ts
@@ -18,7 +18,8 @@
 const openPool = (address: string, localAddress: string): undici.Pool =>
   new undici.Pool(`http://${address}`, {
     connections: MAX_CONNECTIONS,
-    connect: { timeout: CONNECT_TIMEOUT_MS, localAddress },
+    localAddress,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
     keepAliveTimeout: KEEP_ALIVE_MS,
     headersTimeout: 0,
     bodyTimeout: 0,
