--- a/packages-private/stand-ins/src/control.ts
+++ b/packages-private/stand-ins/src/control.ts
@@ -1,3 +1,4 @@
+import * as shared from '@jayrock/shared';
 import type * as fastify from 'fastify';
 
 /** Faults that a stand-in can be told to show. */
@@ -30,10 +31,7 @@
 });
 
 /** Waits for a time in milliseconds. */
-export const wait = (delayMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
+export const { wait } = shared.delay;
 
 const POLL_MS = 5;
 
--- a/packages/cli/__tests__/burn.spec.ts
+++ b/packages/cli/__tests__/burn.spec.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import * as hdr from 'hdr-histogram-js';
+import type * as shared from '@jayrock/shared';
 import * as burn from '../src/burn.js';
 
 const TARGETS = { firstTokenMs: 360, interTokenMs: 25, latencyShare: 0.95, availability: 0.99 };
@@ -13,9 +14,9 @@
 };
 
 const makeReport = (
-  buckets: readonly Partial<burn.LevelBucket>[],
+  buckets: readonly Partial<shared.serviceLevel.LevelBucket>[],
   values: readonly number[] = [],
-): burn.LevelReport => ({
+): shared.serviceLevel.LevelReport => ({
   plan: 'group',
   model: 'small',
   targets: TARGETS,
@@ -32,7 +33,7 @@
   interToken: encodeValues([]),
 });
 
-const mergeOne = (...reports: readonly burn.LevelReport[]): burn.MergedLevel => {
+const mergeOne = (...reports: readonly shared.serviceLevel.LevelReport[]): burn.MergedLevel => {
   const [level] = burn.mergeReports(reports);
   if (level === undefined) {
     throw new Error('no level was merged');
--- a/packages/cli/src/burn.ts
+++ b/packages/cli/src/burn.ts
@@ -1,25 +1,8 @@
 import * as hdr from 'hdr-histogram-js';
 import type * as shared from '@jayrock/shared';
 
-/** Counts of one plan and model in one span, as routers report them. */
-export interface LevelBucket {
-  readonly startMs: number;
-  readonly total: number;
-  readonly slowFirstToken: number;
-  readonly slowInterToken: number;
-  readonly errors: number;
-  readonly truncated: number;
-}
-
-/** A router's report on one plan and model. */
-export interface LevelReport {
-  readonly plan: string;
-  readonly model: string;
-  readonly targets: shared.lists.Targets;
-  readonly buckets: readonly LevelBucket[];
-  readonly firstToken: string;
-  readonly interToken: string;
-}
+type LevelBucket = shared.serviceLevel.LevelBucket;
+type LevelReport = shared.serviceLevel.LevelReport;
 
 /** Reports of several routers on one plan and model, merged. */
 export interface MergedLevel {
--- a/packages/cli/src/commands/slo.ts
+++ b/packages/cli/src/commands/slo.ts
@@ -1,4 +1,5 @@
 import * as fs from 'node:fs';
+import type * as shared from '@jayrock/shared';
 import * as burn from '../burn.js';
 import * as output from '../output.js';
 import * as target from '../target.js';
@@ -10,7 +11,7 @@
 
 const sumBuckets = (
   level: burn.MergedLevel,
-  getCount: (bucket: burn.LevelBucket) => number,
+  getCount: (bucket: shared.serviceLevel.LevelBucket) => number,
 ): number => level.buckets.reduce((sum, bucket) => sum + getCount(bucket), 0);
 
 const printLevels = (levels: readonly burn.MergedLevel[], nowMs: number): void => {
@@ -64,7 +65,9 @@
     return output.EXIT.usage;
   }
   const pages = await Promise.all(
-    routers.value.map((address) => target.fetchPage<readonly burn.LevelReport[]>(address, '/slo')),
+    routers.value.map((address) =>
+      target.fetchPage<readonly shared.serviceLevel.LevelReport[]>(address, '/slo'),
+    ),
   );
   const levels = burn.mergeReports(pages.flatMap((page) => page ?? []));
   const nowMs = Date.now();
--- a/packages/cli/src/commands/waitForce.ts
+++ b/packages/cli/src/commands/waitForce.ts
@@ -1,3 +1,4 @@
+import * as shared from '@jayrock/shared';
 import * as output from '../output.js';
 import * as target from '../target.js';
 
@@ -26,11 +27,6 @@
 const isInForce = (generation: number, one: Reached): boolean =>
   one.page !== null && one.page.generation >= generation;
 
-const wait = (delayMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-
 const pollUntil = async (
   generation: number,
   addresses: readonly string[],
@@ -40,7 +36,7 @@
   if (reached.every((one) => isInForce(generation, one)) || Date.now() > untilMs) {
     return reached;
   }
-  await wait(POLL_MS);
+  await shared.delay.wait(POLL_MS);
   return pollUntil(generation, addresses, untilMs);
 };
 
--- a/packages/core/src/admission.ts
+++ b/packages/core/src/admission.ts
@@ -1,216 +1,24 @@
 import type * as shared from '@jayrock/shared';
-import * as cascade from './cascade.js';
 import type * as configView from './configView.js';
 import * as dispatch from './dispatch.js';
-import type * as events from './events.js';
 import * as laneState from './laneState.js';
 import * as ledgerBook from './ledger/ledgerBook.js';
-import * as learning from './learning.js';
 import type * as policy from './policy.js';
 import * as demand from './orders/demand.js';
 import * as quarantine from './quarantine.js';
-import * as random from './random.js';
 import * as refusal from './refusal.js';
 import * as requestState from './requestState.js';
 import * as routerState from './routerState.js';
+import * as routing from './routing.js';
 import type * as step from './step.js';
 import * as versionId from './versionId.js';
-import * as versionChoice from './versionChoice.js';
 
-/** Expected length from which work counts as long, in tokens. */
-export const LONG_TOKENS = 400;
 /** Largest number of requests one customer may have waiting in one service. */
 const MAX_QUEUED_PER_CUSTOMER = 2_000;
 /** Largest pause a refusal advises, in milliseconds. */
 const MAX_RETRY_AFTER_MS = 30_000;
 /** Shortest pause a refusal advises, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 250;
-/** Waiting work per running request from which the service counts as crowded. */
-const CROWDED_RATIO = 1;
-/** How far a crowded service may go below the target chance when quality has room. */
-const CROWDED_RELIEF = 0.1;
-/** Version name under which calls of plain services appear. */
-export const PLAIN_VERSION = 'plain';
-
-/** Where a request may go, or why it may not go anywhere. */
-type Routing =
-  | { readonly ok: true; readonly requests: readonly requestState.RequestState[] }
-  | { readonly ok: false; readonly code: shared.errorCodes.ErrorCode };
-
-type Arrival = events.EventOf<'requestArrived'>;
-
-interface Caller {
-  readonly customer: shared.lists.Customer;
-  readonly plan: shared.lists.Plan;
-}
-
-type RoutingHandler = (
-  current: routerState.RouterState,
-  config: configView.ConfigView,
-  arrival: Arrival,
-  caller: Caller,
-) => Routing;
-
-const makeRequest = (
-  current: routerState.RouterState,
-  arrival: Arrival,
-  caller: Caller,
-  fields: Pick<
-    requestState.RequestState,
-    'service' | 'versionId' | 'hasMovedSession' | 'isRepeatable' | 'priceMicros'
-  >,
-): requestState.RequestState => {
-  const classKey = learning.classifyRequest(arrival.shape);
-  const expectedTokens = learning.estimateTokens(current.learning, classKey, arrival.shape);
-  return {
-    id: arrival.requestId,
-    customer: caller.customer.name,
-    plan: caller.plan.name,
-    shape: arrival.shape,
-    classKey,
-    expectedTokens,
-    isLong: expectedTokens >= LONG_TOKENS,
-    hasClaim: false,
-    isSuspect: quarantine.isSuspect(current.quarantine, arrival.shape.fingerprint, arrival.nowMs),
-    pin: arrival.pin,
-    arrivedAtMs: arrival.nowMs,
-    deadlineAtMs: arrival.nowMs + caller.plan.deadlineMs,
-    phase: 'queued',
-    queueOrder: 0,
-    attempts: [],
-    nextAttemptId: 1,
-    sentCount: 0,
-    retryCount: 0,
-    triedUpstreams: [],
-    relayedAttempt: null,
-    tokensRelayed: 0,
-    escalationCount: 0,
-    tokensOut: 0,
-    isBilled: true,
-    ...fields,
-  };
-};
-
-const routeCall: RoutingHandler = (current, config, arrival, caller) => {
-  const name = arrival.shape.target;
-  const service = config.services.get(name);
-  const route = service?.routes.find((item) => item.path === arrival.shape.path);
-  if (service?.kind !== 'plain' || route === undefined) {
-    return { ok: false, code: 'notFound' };
-  }
-  if (!caller.plan.services.includes(name)) {
-    return { ok: false, code: 'serviceNotAllowed' };
-  }
-  const request = makeRequest(current, arrival, caller, {
-    service: name,
-    versionId: name,
-    hasMovedSession: false,
-    isRepeatable: route.repeatable,
-    priceMicros: route.costMicros,
-  });
-  return { ok: true, requests: [request] };
-};
-
-const listModels = (
-  config: configView.ConfigView,
-  arrival: Arrival,
-  caller: Caller,
-): readonly string[] =>
-  arrival.shape.target === 'auto'
-    ? caller.plan.models.filter((model) => config.models.has(model))
-    : [arrival.shape.target];
-
-const findModelProblem = (
-  config: configView.ConfigView,
-  arrival: Arrival,
-  caller: Caller,
-): shared.errorCodes.ErrorCode | null => {
-  const { target, adapter } = arrival.shape;
-  if (target !== 'auto' && !config.models.has(target)) {
-    return 'modelUnknown';
-  }
-  if (target !== 'auto' && !caller.plan.models.includes(target)) {
-    return 'modelNotAllowed';
-  }
-  return adapter !== null && !caller.plan.adapters.includes(adapter) ? 'adapterNotAllowed' : null;
-};
-
-/** Lists one option for each model the caller may use now. */
-export const listOptions = (
-  current: routerState.RouterState,
-  models: readonly string[],
-  arrival: Pick<Arrival, 'requestId' | 'shape' | 'pin' | 'session' | 'nowMs'>,
-): readonly cascade.Option[] => {
-  const classKey = learning.classifyRequest(arrival.shape);
-  const tokens = learning.estimateTokens(current.learning, classKey, arrival.shape);
-  return models.flatMap((model) => {
-    const choice = versionChoice.pickVersion(current, {
-      model,
-      adapter: arrival.shape.adapter,
-      rampKey: arrival.session ?? arrival.requestId,
-      pinnedVersion: arrival.pin?.versions[model],
-      nowMs: arrival.nowMs,
-    });
-    if (choice === null) {
-      return [];
-    }
-    const price = cascade.estimatePrice(choice.info, arrival.shape.tokensIn, tokens);
-    return [cascade.makeOption(current.learning, classKey, choice.info, choice.hasMoved, price)];
-  });
-};
-
-/** A crowded service takes cheaper models while the plan's quality is above its target. */
-const computeTarget = (
-  current: routerState.RouterState,
-  plan: shared.lists.Plan,
-  service: string | undefined,
-  nowMs: number,
-): number => {
-  if (service === undefined || current.policy.admission === 'off') {
-    return plan.qualityTarget;
-  }
-  const lane = routerState.getLane(current, service, nowMs);
-  const isCrowded = lane.queue.size > Math.max(1, lane.running) * CROWDED_RATIO;
-  const room = (current.planQuality.get(plan.name)?.value ?? 0) - plan.qualityTarget;
-  return isCrowded
-    ? plan.qualityTarget - Math.max(0, Math.min(CROWDED_RELIEF, room))
-    : plan.qualityTarget;
-};
-
-const routeChat: RoutingHandler = (current, config, arrival, caller) => {
-  const problem = findModelProblem(config, arrival, caller);
-  if (problem !== null) {
-    return { ok: false, code: problem };
-  }
-  const options = listOptions(current, listModels(config, arrival, caller), arrival);
-  if (options.length === 0) {
-    return { ok: false, code: 'noUpstream' };
-  }
-  const affordable = options.filter((option) => option.costMicros <= caller.plan.costCeilingMicros);
-  if (affordable.length === 0) {
-    return { ok: false, code: 'costCeilingExceeded' };
-  }
-  const chosen = cascade.chooseOptions(current.policy.cascade, affordable, {
-    target: computeTarget(current, caller.plan, affordable[0]?.info.service, arrival.nowMs),
-    canEscalate: !arrival.shape.streaming && arrival.shape.target === 'auto',
-    fraction: random.deriveFraction(arrival.random, 5),
-  });
-  const requests = chosen.map((option) =>
-    makeRequest(current, arrival, caller, {
-      service: option.info.service,
-      versionId: option.info.id,
-      hasMovedSession: option.hasMoved,
-      isRepeatable: true,
-      priceMicros: option.info.costPerThousandTokensMicros,
-    }),
-  );
-  return { ok: true, requests };
-};
-
-const ROUTING_HANDLERS: Readonly<Record<requestState.RequestShape['kind'], RoutingHandler>> = {
-  chat: routeChat,
-  call: routeCall,
-};
 
 /** Estimates how long new work of a customer would wait, in milliseconds. */
 const estimateWaitMs = (
@@ -273,7 +81,7 @@
 const admit = (
   current: routerState.RouterState,
   requests: readonly requestState.RequestState[],
-  arrival: Arrival,
+  arrival: routing.Arrival,
 ): step.Step => {
   const judge = ADMISSION_HANDLERS[current.policy.admission];
   const judged = requests.map((request) => ({
@@ -293,19 +101,19 @@
   );
 };
 
-const findCaller = (config: configView.ConfigView, name: string): Caller | null => {
+const findCaller = (config: configView.ConfigView, name: string): routing.Caller | null => {
   const customer = config.customers.get(name);
   const plan = customer === undefined ? undefined : config.plans.get(customer.plan);
   return customer === undefined || plan === undefined ? null : { customer, plan };
 };
 
-const isBlocked = (current: routerState.RouterState, arrival: Arrival): boolean =>
+const isBlocked = (current: routerState.RouterState, arrival: routing.Arrival): boolean =>
   current.policy.quarantine === 'fingerprint' &&
   quarantine.isQuarantined(current.quarantine, arrival.shape.fingerprint, arrival.nowMs);
 
 const findArrivalProblem = (
   current: routerState.RouterState,
-  arrival: Arrival,
+  arrival: routing.Arrival,
 ): shared.errorCodes.ErrorCode | null => {
   if (current.isStopping) {
     return 'routerStopping';
@@ -322,7 +130,7 @@
 const countDemand = (
   current: routerState.RouterState,
   requests: readonly requestState.RequestState[],
-  arrival: Arrival,
+  arrival: routing.Arrival,
 ): routerState.RouterState => {
   const [first] = requests;
   if (first === undefined || arrival.shape.kind !== 'chat') {
@@ -337,11 +145,11 @@
 const countUnserved = (
   current: routerState.RouterState,
   config: configView.ConfigView,
-  caller: Caller,
-  arrival: Arrival,
+  caller: routing.Caller,
+  arrival: routing.Arrival,
   code: shared.errorCodes.ErrorCode,
 ): routerState.RouterState => {
-  const [model] = code === 'noUpstream' ? listModels(config, arrival, caller) : [];
+  const [model] = code === 'noUpstream' ? routing.listModels(config, arrival, caller) : [];
   return model === undefined
     ? current
     : {
@@ -350,7 +158,10 @@
       };
 };
 
-const handleRequestArrived = (current: routerState.RouterState, arrival: Arrival): step.Step => {
+const handleRequestArrived = (
+  current: routerState.RouterState,
+  arrival: routing.Arrival,
+): step.Step => {
   const { config } = current;
   if (config === null) {
     return refusal.refuseArrival(current, arrival.requestId, 'noConfiguration');
@@ -363,13 +174,13 @@
   if (caller === null) {
     return refusal.refuseArrival(current, arrival.requestId, 'unauthorized');
   }
-  const routing = ROUTING_HANDLERS[arrival.shape.kind](current, config, arrival, caller);
-  return routing.ok
-    ? admit(countDemand(current, routing.requests, arrival), routing.requests, arrival)
+  const found = routing.routeRequest(current, config, arrival, caller);
+  return found.ok
+    ? admit(countDemand(current, found.requests, arrival), found.requests, arrival)
     : refusal.refuseArrival(
-        countUnserved(current, config, caller, arrival, routing.code),
+        countUnserved(current, config, caller, arrival, found.code),
         arrival.requestId,
-        routing.code,
+        found.code,
       );
 };
 
--- a/packages/core/src/completion.ts
+++ b/packages/core/src/completion.ts
@@ -1,5 +1,4 @@
 import type * as shared from '@jayrock/shared';
-import * as admission from './admission.js';
 import * as average from './average.js';
 import * as cascade from './cascade.js';
 import type * as configView from './configView.js';
@@ -13,6 +12,7 @@
 import * as recovery from './recovery.js';
 import * as requestState from './requestState.js';
 import * as rollouts from './rollouts.js';
+import * as routing from './routing.js';
 import * as routerState from './routerState.js';
 import * as sessions from './sessions.js';
 import * as step from './step.js';
@@ -69,7 +69,7 @@
   customer: request.customer,
   plan: request.plan,
   model: versionId.getModelName(request.versionId),
-  version: request.versionId.split('@')[1] ?? admission.PLAIN_VERSION,
+  version: request.versionId.split('@')[1] ?? routing.PLAIN_VERSION,
   upstream: request.triedUpstreams.at(-1) ?? '',
   tokensIn: request.shape.tokensIn,
   tokensOut: request.tokensOut,
@@ -145,7 +145,7 @@
   ) {
     return undefined;
   }
-  const options = admission
+  const options = routing
     .listOptions(current, plan.models, {
       requestId: request.id,
       shape: request.shape,
--- a/packages/core/src/reduce.ts
+++ b/packages/core/src/reduce.ts
@@ -12,6 +12,7 @@
 import * as rollouts from './rollouts.js';
 import type * as routerState from './routerState.js';
 import * as step from './step.js';
+import * as timers from './timers.js';
 
 type Handlers = {
   readonly [T in events.EventType]: (
@@ -31,6 +32,7 @@
   ...membership.HANDLERS,
   ...orders.HANDLERS,
   ...rollouts.HANDLERS,
+  ...timers.HANDLERS,
 };
 
 /** Applies one event to the state; the same state and event always give the same step. */
--- a/packages/core/src/reroute.ts
+++ b/packages/core/src/reroute.ts
@@ -1,9 +1,9 @@
-import * as admission from './admission.js';
 import * as cascade from './cascade.js';
 import * as dispatch from './dispatch.js';
 import type * as events from './events.js';
 import * as refusal from './refusal.js';
 import type * as requestState from './requestState.js';
+import * as routing from './routing.js';
 import type * as routerState from './routerState.js';
 import * as step from './step.js';
 import * as versionChoice from './versionChoice.js';
@@ -39,7 +39,7 @@
   const plan = current.config?.plans.get(customer?.plan ?? '');
   const models = request.shape.target === 'auto' ? (plan?.models ?? []) : [request.shape.target];
   const allowed = models.filter((model) => plan?.models.includes(model));
-  const options = admission.listOptions(current, allowed, {
+  const options = routing.listOptions(current, allowed, {
     requestId: request.id,
     shape: request.shape,
     pin: request.pin,
--- a/packages/router/src/ledger/ledgerService.ts
+++ b/packages/router/src/ledger/ledgerService.ts
@@ -46,11 +46,6 @@
   readonly settle: (isWritten: boolean) => void;
 }
 
-const wait = (delayMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-
 /** Makes the ledger service of a router. */
 export const startLedgerService = (
   node: runtime.Runtime,
@@ -118,7 +113,7 @@
     const address = await findWitness(entries);
     if (address === null) {
       // Without a witness the entry is written before the caller gets the end, if the store answers.
-      await Promise.race([commit(entries), wait(WITNESS_TIMEOUT_MS)]);
+      await Promise.race([commit(entries), shared.delay.wait(WITNESS_TIMEOUT_MS)]);
     }
     entries.forEach((entry) => {
       if (address !== null) {
@@ -162,7 +157,7 @@
       while (hasPending() && Date.now() < untilMs) {
         node.dispatch({ type: 'ledgerDue' });
         // eslint-disable-next-line no-await-in-loop -- each look follows a pause
-        await wait(WITNESS_LINGER_MS * 10);
+        await shared.delay.wait(WITNESS_LINGER_MS * 10);
       }
       return !hasPending();
     },
--- a/packages/router/src/serviceLevels.ts
+++ b/packages/router/src/serviceLevels.ts
@@ -11,26 +11,8 @@
 const MAX_LATENCY_MS = 600_000;
 const SIGNIFICANT_DIGITS = 2;
 
-/** Counts of one plan and model in one span of time. */
-export interface LevelBucket {
-  readonly startMs: number;
-  readonly total: number;
-  readonly slowFirstToken: number;
-  readonly slowInterToken: number;
-  readonly errors: number;
-  readonly truncated: number;
-}
-
-/** Service levels of one plan and model, in a form that routers' reports can be merged from. */
-export interface LevelReport {
-  readonly plan: string;
-  readonly model: string;
-  readonly targets: shared.lists.Targets;
-  readonly buckets: readonly LevelBucket[];
-  /** Encoded histograms, in milliseconds. */
-  readonly firstToken: string;
-  readonly interToken: string;
-}
+type LevelBucket = shared.serviceLevel.LevelBucket;
+type LevelReport = shared.serviceLevel.LevelReport;
 
 interface Series {
   readonly plan: string;
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -49,15 +49,10 @@
 const listen = (server: fastify.FastifyInstance, address: string): Promise<string> =>
   server.listen(shared.settings.parseAddress(address));
 
-const wait = (delayMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-
 const waitUntil = async (isDone: () => boolean): Promise<void> => {
   while (!isDone()) {
     // eslint-disable-next-line no-await-in-loop -- each look follows a pause
-    await wait(STOP_POLL_MS);
+    await shared.delay.wait(STOP_POLL_MS);
   }
 };
 
@@ -200,7 +195,7 @@
     log.info('router stopping');
     await services.peers.leave();
     isLeaving = true;
-    await wait(LEAVE_BALANCER_MS);
+    await shared.delay.wait(LEAVE_BALANCER_MS);
     node.dispatch({ type: 'stopRequested' });
     await waitUntil(() => pending.size === 0);
     await callers.close();
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,3 +1,4 @@
+export * as delay from './delay.js';
 export * as errorCodes from './errorCodes.js';
 export * as hash from './hash.js';
 export * as hosts from './hosts.js';
@@ -8,3 +9,4 @@
 export * as rendezvous from './rendezvous.js';
 export * as requestId from './requestId.js';
 export * as settings from './settings.js';
+export * as serviceLevel from './serviceLevel.js';
