--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -20,3 +20,4 @@
 export * as sequentialTest from './sequentialTest.js';
 export * as step from './step.js';
 export * as versionId from './versionId.js';
+export * as upstreamState from './upstreamState.js';
