refactor: one guard and one roll-out edit for all list edits, and drop dead fields

The command line, the routers' proposals and the experiments each wrote the check for missing lists, and the first two the same roll-out edit; configEdits now has both. No behaviour changes.

--- a/packages-private/measure/__tests__/socketSite.ts
+++ b/packages-private/measure/__tests__/socketSite.ts
@@ -121,10 +121,9 @@
     engines,
     plain,
     setModels: async (models) => {
-      await platform.configEdits.editOnce(running.platform.store, (lists) =>
-        lists === null
-          ? shared.outcome.makeFailed('no lists')
-          : shared.outcome.makeOk({ plans: lists.plans, models }),
+      await platform.configEdits.editOnce(
+        running.platform.store,
+        platform.configEdits.makeListEdit(({ plans }) => shared.outcome.makeOk({ plans, models })),
       );
       const stored = await platform.configStore.readHead(running.platform.store);
       const generation = stored.ok ? stored.value.head?.generation : undefined;
--- a/packages-private/measure/src/capacityMain.ts
+++ b/packages-private/measure/src/capacityMain.ts
@@ -60,17 +60,11 @@
 
 const changeWeight = async (fleet: fleets.Fleet): Promise<number> => {
   const store = platform.memoryStore.openMemoryStore(fleet.store.table);
-  const result = await platform.configEdits.editWithRetry(store, (lists) =>
-    lists === null
-      ? shared.outcome.makeFailed('no lists')
-      : shared.outcome.makeOk({
-          models: lists.models,
-          plans: {
-            ...lists.plans,
-            customers: lists.plans.customers.map((one) => ({ ...one, weight: one.weight + 1 })),
-          },
-        }),
-  );
+  const edit = platform.configEdits.makeListEdit(({ plans, models }) => {
+    const customers = plans.customers.map((one) => ({ ...one, weight: one.weight + 1 }));
+    return shared.outcome.makeOk({ models, plans: { ...plans, customers } });
+  });
+  const result = await platform.configEdits.editWithRetry(store, edit);
   return result.ok ? result.value.generation : 0;
 };
 
--- a/packages-private/measure/src/faultsMain.ts
+++ b/packages-private/measure/src/faultsMain.ts
@@ -131,21 +131,12 @@
   const stores = ['first', 'second'].map(() =>
     platform.etcdStore.openEtcdStore(fleet.store.address),
   );
-  const edits = ['north', 'south'].map(
-    (name): platform.configEdits.ListEdit =>
-      (lists) =>
-        lists === null
-          ? shared.outcome.makeFailed('no lists')
-          : shared.outcome.makeOk({
-              models: lists.models,
-              plans: {
-                ...lists.plans,
-                customers: [
-                  ...lists.plans.customers,
-                  { name, plan: 'counter', keyHash: shared.hash.hashDigest(name), weight: 1 },
-                ],
-              },
-            }),
+  const edits = ['north', 'south'].map((name) =>
+    platform.configEdits.makeListEdit(({ plans, models }) => {
+      const keyHash = shared.hash.hashDigest(name);
+      const customers = [...plans.customers, { name, plan: 'counter', keyHash, weight: 1 }];
+      return shared.outcome.makeOk({ models, plans: { ...plans, customers } });
+    }),
   );
   const outcomes = await Promise.all(
     stores.map((store, index) =>
--- a/packages-private/measure/src/policy/trial.ts
+++ b/packages-private/measure/src/policy/trial.ts
@@ -23,7 +23,6 @@
   readonly reportLagMs: number;
   readonly ratingDelayMs: number;
   readonly hasRollout?: boolean;
-  readonly weights?: readonly number[];
 }
 
 /** What became of one request. */
--- a/packages-private/measure/src/policy/trialConfig.ts
+++ b/packages-private/measure/src/policy/trialConfig.ts
@@ -27,11 +27,10 @@
         deadlineMs: options.deadlineMs,
       },
     ],
-    customers: workload.CUSTOMERS.map((name, index) => ({
+    customers: workload.CUSTOMERS.map((name) => ({
       name,
       plan: 'plan',
       keyHash: shared.hash.hashDigest(name),
-      weight: options.weights?.[index] ?? 1,
     })),
   }),
   models: shared.lists.modelsListSchema.parse({
--- a/packages-private/stand-ins/src/engine.ts
+++ b/packages-private/stand-ins/src/engine.ts
@@ -52,7 +52,6 @@
   readonly seed: string;
   position: number;
   readyAtMs: number;
-  hasStarted: boolean;
 }
 
 /** Text in a prompt that crashes the engine. */
@@ -212,7 +211,6 @@
         seed: `${body.model}|${prompt}`,
         position: Number(request.headers['x-resume-from'] ?? 0),
         readyAtMs: 0,
-        hasStarted: false,
       });
       admit();
       return reply;
--- a/packages/cli/src/commands/rollout.ts
+++ b/packages/cli/src/commands/rollout.ts
@@ -1,5 +1,4 @@
 import * as platform from '@jayrock/platform';
-import * as shared from '@jayrock/shared';
 import * as output from '../output.js';
 import * as target from '../target.js';
 import * as waitForce from './waitForce.js';
@@ -52,19 +51,6 @@
 const parseSteps = (text: string | undefined): readonly number[] | undefined =>
   text === undefined ? undefined : String(text).split(',').map(Number);
 
-const makeEdit =
-  (
-    action: platform.rolloutEdits.RolloutAction,
-    edit: platform.rolloutEdits.RolloutTarget,
-  ): platform.configEdits.ListEdit =>
-  (lists) => {
-    if (lists === null) {
-      return shared.outcome.makeFailed('there is no configuration yet');
-    }
-    const models = platform.rolloutEdits.editRollout(lists.models, action, edit);
-    return models.ok ? shared.outcome.makeOk({ plans: lists.plans, models: models.value }) : models;
-  };
-
 const printProblem = (error: platform.configEdits.EditError): number => {
   if (error.kind === 'rejected') {
     output.printError(error.reason);
@@ -90,7 +76,11 @@
   options: RolloutOptions,
 ): Promise<number> => {
   const steps = parseSteps(options.steps);
-  const edit = makeEdit(action, { model, version, ...(steps === undefined ? {} : { steps }) });
+  const edit = platform.configEdits.makeRolloutEdit(action, {
+    model,
+    version,
+    ...(steps === undefined ? {} : { steps }),
+  });
   const result = await platform.configEdits.editWithRetry(store, edit);
   if (!result.ok) {
     return printProblem(result.error);
--- a/packages/core/src/dispatch.ts
+++ b/packages/core/src/dispatch.ts
@@ -156,7 +156,6 @@
   step.makeStep(routerState.setRequest(current, { ...request, phase: 'claiming' }), {
     type: 'writeClaim',
     requestId: request.id,
-    customer: request.customer,
   });
 
 /** Starts a request on an upstream, by way of its claim if it needs one. */
--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -12,7 +12,7 @@
     readonly notRun: boolean;
     readonly retryAfterMs: number | null;
   };
-  readonly writeClaim: { readonly requestId: string; readonly customer: string };
+  readonly writeClaim: { readonly requestId: string };
   readonly releaseClaim: { readonly requestId: string };
   readonly startAttempt: {
     readonly requestId: string;
@@ -51,7 +51,7 @@
     readonly hasMovedSession: boolean;
   };
   readonly armTimer: { readonly timer: events.Timer; readonly delayMs: number };
-  readonly broadcastAlarm: { readonly versionId: versionId.VersionId; readonly model: string };
+  readonly broadcastAlarm: { readonly versionId: versionId.VersionId };
   readonly broadcastCrashEvidence: {
     readonly fingerprint: string;
     readonly crashes: readonly string[];
--- a/packages/core/src/rollouts.ts
+++ b/packages/core/src/rollouts.ts
@@ -180,7 +180,7 @@
   const halted = proposeChange(alarmed, rollout, progress, 'halt');
   return {
     state: halted.state,
-    effects: [{ type: 'broadcastAlarm', versionId: id, model: rollout.model }, ...halted.effects],
+    effects: [{ type: 'broadcastAlarm', versionId: id }, ...halted.effects],
   };
 };
 
--- a/packages/platform/src/configEdits.ts
+++ b/packages/platform/src/configEdits.ts
@@ -2,6 +2,7 @@
 import * as shared from '@jayrock/shared';
 import * as configStore from './configStore.js';
 import type * as keyValueStore from './keyValueStore.js';
+import * as rolloutEdits from './rolloutEdits.js';
 
 const SIGNING_KEY_BYTES = 32;
 /** Times an edit is made again on top of another one that came first. */
@@ -22,6 +23,22 @@
 /** Changes both lists, or says why it will not. */
 export type ListEdit = (lists: Lists | null) => shared.outcome.Outcome<Lists, string>;
 
+/** Makes an edit that needs lists to be there. */
+export const makeListEdit =
+  (change: (lists: Lists) => shared.outcome.Outcome<Lists, string>): ListEdit =>
+  (lists) =>
+    lists === null ? shared.outcome.makeFailed('there is no configuration yet') : change(lists);
+
+/** Makes the edit that an action on a roll-out means for the lists. */
+export const makeRolloutEdit = (
+  action: rolloutEdits.RolloutAction,
+  target: rolloutEdits.RolloutTarget,
+): ListEdit =>
+  makeListEdit((lists) => {
+    const models = rolloutEdits.editRollout(lists.models, action, target);
+    return models.ok ? shared.outcome.makeOk({ plans: lists.plans, models: models.value }) : models;
+  });
+
 interface Base {
   readonly head: configStore.VersionedHead;
   readonly configuration: shared.lists.Configuration | null;
--- a/packages/router/src/rolloutProposals.ts
+++ b/packages/router/src/rolloutProposals.ts
@@ -1,6 +1,5 @@
 import type * as core from '@jayrock/core';
 import * as platform from '@jayrock/platform';
-import * as shared from '@jayrock/shared';
 import type * as pino from 'pino';
 
 type Proposal = core.effects.EffectOf<'proposeRollout'>;
@@ -10,20 +9,12 @@
 /** Times a change is tried. */
 const MAX_TRIES = 60;
 
-const makeEdit =
-  (proposal: Proposal): platform.configEdits.ListEdit =>
-  (lists) => {
-    if (lists === null) {
-      return shared.outcome.makeFailed('there is no configuration yet');
-    }
-    const target = {
-      model: proposal.model,
-      version: proposal.to,
-      ...(proposal.change === 'advance' ? { fromStep: proposal.fromStep } : {}),
-    };
-    const models = platform.rolloutEdits.editRollout(lists.models, proposal.change, target);
-    return models.ok ? shared.outcome.makeOk({ plans: lists.plans, models: models.value }) : models;
-  };
+const makeEdit = (proposal: Proposal): platform.configEdits.ListEdit =>
+  platform.configEdits.makeRolloutEdit(proposal.change, {
+    model: proposal.model,
+    version: proposal.to,
+    ...(proposal.change === 'advance' ? { fromStep: proposal.fromStep } : {}),
+  });
 
 /** Writes the changes of roll-outs that the reducer proposes; another router may be first. */
 export const makeProposer = (
