--- a/eslint.config.js
+++ b/eslint.config.js
@@ -32,7 +32,7 @@
             '.',
             'packages/shared',
             'packages/core',
-            'packages/platform',
+            'packages/stores',
             'packages/router',
             'packages/cli',
             'packages-private/stand-ins',
--- a/packages-private/measure/__tests__/socketSite.ts
+++ b/packages-private/measure/__tests__/socketSite.ts
@@ -1,7 +1,7 @@
 import * as fs from 'node:fs';
 import * as os from 'node:os';
 import * as path from 'node:path';
-import * as platform from '@jayrock/platform';
+import * as stores from '@jayrock/stores';
 import * as router from '@jayrock/router';
 import * as shared from '@jayrock/shared';
 import * as standIns from '@jayrock/stand-ins';
@@ -121,11 +121,11 @@
     engines,
     plain,
     setModels: async (models) => {
-      await platform.configEdits.editOnce(
+      await stores.configEdits.editOnce(
         running.platform.store,
-        platform.configEdits.makeListEdit(({ plans }) => shared.outcome.makeOk({ plans, models })),
+        stores.configEdits.makeListEdit(({ plans }) => shared.outcome.makeOk({ plans, models })),
       );
-      const stored = await platform.configStore.readHead(running.platform.store);
+      const stored = await stores.configStore.readHead(running.platform.store);
       const generation = stored.ok ? stored.value.head?.generation : undefined;
       await standIns.control.waitUntil(
         () => running.node.getState().config?.generation === generation,
--- a/packages-private/measure/src/capacityMain.ts
+++ b/packages-private/measure/src/capacityMain.ts
@@ -1,5 +1,5 @@
 import * as cac from 'cac';
-import * as platform from '@jayrock/platform';
+import * as stores from '@jayrock/stores';
 import * as shared from '@jayrock/shared';
 import * as standIns from '@jayrock/stand-ins';
 import * as client from './client.js';
@@ -59,12 +59,12 @@
   });
 
 const changeWeight = async (fleet: fleets.Fleet): Promise<number> => {
-  const store = platform.memoryStore.openMemoryStore(fleet.store.table);
-  const edit = platform.configEdits.makeListEdit(({ plans, models }) => {
+  const store = stores.memoryStore.openMemoryStore(fleet.store.table);
+  const edit = stores.configEdits.makeListEdit(({ plans, models }) => {
     const customers = plans.customers.map((one) => ({ ...one, weight: one.weight + 1 }));
     return shared.outcome.makeOk({ models, plans: { ...plans, customers } });
   });
-  const result = await platform.configEdits.editWithRetry(store, edit);
+  const result = await stores.configEdits.editWithRetry(store, edit);
   return result.ok ? result.value.generation : 0;
 };
 
--- a/packages-private/measure/src/faults/fleet.ts
+++ b/packages-private/measure/src/faults/fleet.ts
@@ -3,7 +3,7 @@
 import * as os from 'node:os';
 import * as path from 'node:path';
 import * as url from 'node:url';
-import * as platform from '@jayrock/platform';
+import * as stores from '@jayrock/stores';
 import * as shared from '@jayrock/shared';
 import * as standIns from '@jayrock/stand-ins';
 import * as site from '../site.js';
@@ -139,8 +139,8 @@
   })),
 ];
 
-const writeLists = async (store: platform.keyValueStore.KeyValueStore): Promise<void> => {
-  await platform.configEdits.editOnce(store, () =>
+const writeLists = async (store: stores.keyValueStore.KeyValueStore): Promise<void> => {
+  await stores.configEdits.editOnce(store, () =>
     shared.outcome.makeOk({
       plans: site.loadPlans('ledgerline'),
       models: site.loadModels('ledgerline'),
@@ -200,7 +200,7 @@
   const hostList = await standIns.hostListServer.startHostListServer(
     toHosts(hosts, options, upstreams),
   );
-  const memory = platform.memoryStore.openMemoryStore(store.table);
+  const memory = stores.memoryStore.openMemoryStore(store.table);
   await writeLists(memory);
   const forwarders = await Promise.all(
     hosts.map((host) =>
--- a/packages-private/measure/src/faultsMain.ts
+++ b/packages-private/measure/src/faultsMain.ts
@@ -3,7 +3,7 @@
 import * as url from 'node:url';
 import * as util from 'node:util';
 import * as cac from 'cac';
-import * as platform from '@jayrock/platform';
+import * as stores from '@jayrock/stores';
 import * as shared from '@jayrock/shared';
 import * as standIns from '@jayrock/stand-ins';
 import * as client from './client.js';
@@ -128,23 +128,17 @@
 };
 
 const raceOperators: Fault = async (fleet) => {
-  const stores = ['first', 'second'].map(() =>
-    platform.etcdStore.openEtcdStore(fleet.store.address),
-  );
+  const opened = ['first', 'second'].map(() => stores.etcdStore.openEtcdStore(fleet.store.address));
   const edits = ['north', 'south'].map((name) =>
-    platform.configEdits.makeListEdit(({ plans, models }) => {
+    stores.configEdits.makeListEdit(({ plans, models }) => {
       const keyHash = shared.hash.hashDigest(name);
       const customers = [...plans.customers, { name, plan: 'counter', keyHash, weight: 1 }];
       return shared.outcome.makeOk({ models, plans: { ...plans, customers } });
     }),
   );
   const outcomes = await Promise.all(
-    stores.map((store, index) =>
-      platform.configEdits.editOnce(
-        store,
-        edits[index] ?? (() => shared.outcome.makeFailed('')),
-        1,
-      ),
+    opened.map((store, index) =>
+      stores.configEdits.editOnce(store, edits[index] ?? (() => shared.outcome.makeFailed('')), 1),
     ),
   );
   const won = outcomes.filter((outcome) => outcome.ok).length;
@@ -152,7 +146,7 @@
     (outcome) => !outcome.ok && outcome.error.kind === 'conflict',
   ).length;
   process.stderr.write(`two operators: ${won} applied, ${conflicts} told of a conflict\n`);
-  await Promise.all(stores.map((store) => store.close()));
+  await Promise.all(opened.map((store) => store.close()));
   await wait(3_000);
 };
 
--- a/packages-private/measure/src/policy/trialRunners.ts
+++ b/packages-private/measure/src/policy/trialRunners.ts
@@ -1,5 +1,5 @@
 import type * as core from '@jayrock/core';
-import * as platform from '@jayrock/platform';
+import * as stores from '@jayrock/stores';
 import * as shared from '@jayrock/shared';
 import type * as fakeEngine from './fakeEngine.js';
 import type * as timeline from './timeline.js';
@@ -128,7 +128,7 @@
     proposeRollout: ({ model, to, change, fromStep }) =>
       context.clock.schedule(CONFIG_DELAY_MS, () => {
         const target = { model, version: to, ...(change === 'advance' ? { fromStep } : {}) };
-        const edited = platform.rolloutEdits.editRollout(
+        const edited = stores.rolloutEdits.editRollout(
           context.getConfiguration().models,
           change,
           target,
--- a/packages-private/stand-ins/src/keyValueServer.ts
+++ b/packages-private/stand-ins/src/keyValueServer.ts
@@ -1,5 +1,5 @@
 import * as fastify from 'fastify';
-import * as platform from '@jayrock/platform';
+import * as stores from '@jayrock/stores';
 import * as control from './control.js';
 
 /** Calls that a key-value stand-in has taken, by path. */
@@ -7,7 +7,7 @@
 
 /** A key-value service stand-in that speaks the JSON form of the etcd v3 protocol. */
 export interface KeyValueServer extends control.StandIn {
-  readonly table: platform.memoryStore.MemoryTable;
+  readonly table: stores.memoryStore.MemoryTable;
   readonly getCounts: () => CallCounts;
 }
 
@@ -31,13 +31,13 @@
 const decode = (text: string): string => Buffer.from(text, 'base64').toString();
 const encode = (text: string): string => Buffer.from(text).toString('base64');
 
-const toRaw = (entry: platform.keyValueStore.KeyValueEntry): object => ({
+const toRaw = (entry: stores.keyValueStore.KeyValueEntry): object => ({
   key: encode(entry.key),
   value: encode(entry.value),
   mod_revision: String(entry.revision),
 });
 
-const toTransaction = (body: TransactionBody): platform.keyValueStore.Transaction => ({
+const toTransaction = (body: TransactionBody): stores.keyValueStore.Transaction => ({
   checks: (body.compare ?? []).map((check) => ({
     key: decode(check.key),
     revision: Number(check.mod_revision ?? 0),
@@ -60,7 +60,7 @@
 
 /** Starts a key-value stand-in over a table. */
 export const startKeyValueServer = async (
-  table = new platform.memoryStore.MemoryTable(),
+  table = new stores.memoryStore.MemoryTable(),
   port = 0,
 ): Promise<KeyValueServer> => {
   const faults = control.makeFaults();
--- a/packages/cli/src/commands/lists.ts
+++ b/packages/cli/src/commands/lists.ts
@@ -1,5 +1,5 @@
 import * as fs from 'node:fs';
-import * as platform from '@jayrock/platform';
+import * as stores from '@jayrock/stores';
 import * as shared from '@jayrock/shared';
 import * as listDiff from '../listDiff.js';
 import * as output from '../output.js';
@@ -16,7 +16,7 @@
   readonly wait?: boolean;
 }
 
-type Store = platform.keyValueStore.KeyValueStore;
+type Store = stores.keyValueStore.KeyValueStore;
 type Configuration = shared.lists.Configuration;
 
 const SCHEMAS = {
@@ -26,7 +26,7 @@
 
 const BASE_COMMENT = /^\/\/ generation (\d+)/m;
 
-const printStoreError = (error: platform.configStore.ConfigError): number => {
+const printStoreError = (error: stores.configStore.ConfigError): number => {
   output.printError(
     error.kind === 'invalid' ? error.problems.join('\n') : 'the key-value service does not answer',
   );
@@ -34,7 +34,7 @@
 };
 
 const getList = async (store: Store, name: ListName, options: ListOptions): Promise<number> => {
-  const found = await platform.configStore.readConfiguration(store);
+  const found = await stores.configStore.readConfiguration(store);
   if (!found.ok) {
     return printStoreError(found.error);
   }
@@ -71,7 +71,7 @@
   options: ListOptions,
 ): Promise<number> => {
   const loaded = loadFile(file, name);
-  const found = await platform.configStore.readConfiguration(store);
+  const found = await stores.configStore.readConfiguration(store);
   if (loaded === null) {
     return output.EXIT.failed;
   }
@@ -110,7 +110,7 @@
   b: Configuration | null,
 ): boolean => JSON.stringify(a?.[name]) !== JSON.stringify(b?.[name]);
 
-const replaceList = (name: ListName, value: ListFile['value']): platform.configEdits.ListEdit => {
+const replaceList = (name: ListName, value: ListFile['value']): stores.configEdits.ListEdit => {
   const empty = {
     plans: { plans: [], customers: [] },
     models: { services: [], models: [], rollouts: [] },
@@ -141,7 +141,7 @@
   loaded: ListFile,
   options: ListOptions,
 ): Promise<number> => {
-  const current = await platform.configStore.readConfiguration(store);
+  const current = await stores.configStore.readConfiguration(store);
   if (!current.ok) {
     return printStoreError(current.error);
   }
@@ -149,12 +149,12 @@
   const base =
     baseGeneration === undefined
       ? shared.outcome.makeOk(null)
-      : await platform.configStore.readGeneration(store, baseGeneration);
+      : await stores.configStore.readGeneration(store, baseGeneration);
   const known = base.ok ? base.value : null;
   if (hasListChanged(name, known, current.value)) {
     return printConflict(name, known, current.value, loaded.value);
   }
-  const result = await platform.configEdits.editOnce(
+  const result = await stores.configEdits.editOnce(
     store,
     replaceList(name, loaded.value),
     current.value?.generation ?? 0,
--- a/packages/cli/src/commands/rollout.ts
+++ b/packages/cli/src/commands/rollout.ts
@@ -1,4 +1,4 @@
-import * as platform from '@jayrock/platform';
+import * as stores from '@jayrock/stores';
 import * as output from '../output.js';
 import * as target from '../target.js';
 import * as waitForce from './waitForce.js';
@@ -19,10 +19,10 @@
 ]);
 
 const printRollouts = async (
-  store: platform.keyValueStore.KeyValueStore,
+  store: stores.keyValueStore.KeyValueStore,
   options: RolloutOptions,
 ): Promise<number> => {
-  const found = await platform.configStore.readConfiguration(store);
+  const found = await stores.configStore.readConfiguration(store);
   if (!found.ok) {
     output.printError('the key-value service does not answer');
     return output.EXIT.unreachable;
@@ -51,7 +51,7 @@
 const parseSteps = (text: string | undefined): readonly number[] | undefined =>
   text === undefined ? undefined : String(text).split(',').map(Number);
 
-const printProblem = (error: platform.configEdits.EditError): number => {
+const printProblem = (error: stores.configEdits.EditError): number => {
   if (error.kind === 'rejected') {
     output.printError(error.reason);
     return output.EXIT.failed;
@@ -69,19 +69,19 @@
 };
 
 const changeRollout = async (
-  store: platform.keyValueStore.KeyValueStore,
-  action: platform.rolloutEdits.RolloutAction,
+  store: stores.keyValueStore.KeyValueStore,
+  action: stores.rolloutEdits.RolloutAction,
   model: string,
   version: string,
   options: RolloutOptions,
 ): Promise<number> => {
   const steps = parseSteps(options.steps);
-  const edit = platform.configEdits.makeRolloutEdit(action, {
+  const edit = stores.configEdits.makeRolloutEdit(action, {
     model,
     version,
     ...(steps === undefined ? {} : { steps }),
   });
-  const result = await platform.configEdits.editWithRetry(store, edit);
+  const result = await stores.configEdits.editWithRetry(store, edit);
   if (!result.ok) {
     return printProblem(result.error);
   }
@@ -116,7 +116,7 @@
   const code = isChange
     ? await changeRollout(
         store.value,
-        action as platform.rolloutEdits.RolloutAction,
+        action as stores.rolloutEdits.RolloutAction,
         model,
         version,
         options,
--- a/packages/cli/src/target.ts
+++ b/packages/cli/src/target.ts
@@ -1,4 +1,4 @@
-import * as platform from '@jayrock/platform';
+import * as stores from '@jayrock/stores';
 import * as shared from '@jayrock/shared';
 import * as undici from 'undici';
 
@@ -40,10 +40,10 @@
 };
 
 /** Opens the key-value service that the options name. */
-export const openStore = (options: TargetOptions): Found<platform.keyValueStore.KeyValueStore> => {
+export const openStore = (options: TargetOptions): Found<stores.keyValueStore.KeyValueStore> => {
   const address = findStoreAddress(options);
   return address.ok
-    ? shared.outcome.makeOk(platform.etcdStore.openEtcdStore(address.value))
+    ? shared.outcome.makeOk(stores.etcdStore.openEtcdStore(address.value))
     : address;
 };
 
--- a/packages/router/__tests__/orderLease.spec.ts
+++ b/packages/router/__tests__/orderLease.spec.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import * as platform from '@jayrock/platform';
+import * as stores from '@jayrock/stores';
 import * as orderLease from '../src/orders/orderLease.js';
 
 interface Holders {
@@ -11,10 +11,7 @@
 const makeHolders = (): Holders => {
   let nowMs = 1_000;
   const getNowMs = (): number => nowMs;
-  const store = platform.memoryStore.openMemoryStore(
-    new platform.memoryStore.MemoryTable(),
-    getNowMs,
-  );
+  const store = stores.memoryStore.openMemoryStore(new stores.memoryStore.MemoryTable(), getNowMs);
   return {
     first: orderLease.makeOrderLease(store, 'a', 'first', getNowMs),
     second: orderLease.makeOrderLease(store, 'a', 'second', getNowMs),
--- a/packages/router/__tests__/outgoing.spec.ts
+++ b/packages/router/__tests__/outgoing.spec.ts
@@ -1,7 +1,7 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 import test from 'ava';
-import * as platform from '@jayrock/platform';
+import * as stores from '@jayrock/stores';
 import * as rpcClient from '../src/peers/rpcClient.js';
 import * as agents from '../src/upstreams/agents.js';
 
@@ -42,7 +42,7 @@
   const pools = agents.makeAgents(OWN_ADDRESS);
   const response = await pools.get(listener.address).request({ method: 'GET', path: '/' });
   await response.body.dump();
-  const store = platform.etcdStore.openEtcdStore(listener.address, OWN_ADDRESS);
+  const store = stores.etcdStore.openEtcdStore(listener.address, OWN_ADDRESS);
   await store.get('key', 'other');
   await Promise.all([client.close(), pools.close(), store.close()]);
   listener.close();
--- a/packages/router/src/claims/claimService.ts
+++ b/packages/router/src/claims/claimService.ts
@@ -1,5 +1,5 @@
 import * as core from '@jayrock/core';
-import type * as platform from '@jayrock/platform';
+import type * as stores from '@jayrock/stores';
 import * as shared from '@jayrock/shared';
 import type * as messages from '../peers/messages.js';
 import type * as rpcClient from '../peers/rpcClient.js';
@@ -53,7 +53,7 @@
 
 /** Segments must follow each other without a gap; a gap means that the list is not whole. */
 const readSegments = async (
-  store: platform.keyValueStore.KeyValueStore,
+  store: stores.keyValueStore.KeyValueStore,
   bucket: number,
   fromSegment: number,
 ): Promise<readonly (readonly core.claimLog.ClaimOperation[])[] | null> => {
@@ -71,7 +71,7 @@
 /** Makes the claim service of a router. */
 export const makeClaimService = (
   node: runtime.Runtime,
-  store: platform.keyValueStore.KeyValueStore,
+  store: stores.keyValueStore.KeyValueStore,
   client: rpcClient.RpcClient,
 ): ClaimService => {
   const tokens = new Map<string, string>();
--- a/packages/router/src/effectRunners.ts
+++ b/packages/router/src/effectRunners.ts
@@ -1,5 +1,5 @@
 import type * as core from '@jayrock/core';
-import type * as platform from '@jayrock/platform';
+import type * as stores from '@jayrock/stores';
 import * as shared from '@jayrock/shared';
 import type * as pino from 'pino';
 import * as problem from './callers/problem.js';
@@ -23,7 +23,7 @@
   readonly pending: Map<string, pendingRequest.PendingRequest>;
   readonly pools: agents.Agents;
   readonly pace: paceMonitor.PaceMonitor;
-  readonly rating: platform.ratingService.RatingService;
+  readonly rating: stores.ratingService.RatingService;
   readonly claims: claimService.ClaimService;
   readonly ledger: ledgerService.LedgerService;
   readonly peers: peerService.PeerService;
--- a/packages/router/src/embeddedLists.ts
+++ b/packages/router/src/embeddedLists.ts
@@ -1,6 +1,6 @@
 import * as crypto from 'node:crypto';
 import * as fs from 'node:fs';
-import * as platform from '@jayrock/platform';
+import * as stores from '@jayrock/stores';
 import * as shared from '@jayrock/shared';
 
 /** Paths of both lists of a small site. */
@@ -47,18 +47,18 @@
 
 /** Writes the lists of a small site into its store as the next generation. */
 export const loadIntoStore = async (
-  store: platform.keyValueStore.KeyValueStore,
+  store: stores.keyValueStore.KeyValueStore,
   files: ListFiles,
 ): Promise<shared.outcome.Outcome<number, Problems>> => {
   const lists = loadLists(files);
   if (!lists.ok) {
     return lists;
   }
-  const base = await platform.configStore.readHead(store);
+  const base = await stores.configStore.readHead(store);
   const head = base.ok ? base.value : { head: null, revision: 0 };
   const generation = (head.head?.generation ?? 0) + 1;
   const signingKey = head.head?.signingKey ?? crypto.randomBytes(SIGNING_KEY_BYTES).toString('hex');
-  await platform.configStore.writeConfiguration(
+  await stores.configStore.writeConfiguration(
     store,
     { generation, signingKey, ...lists.value },
     head,
@@ -76,7 +76,7 @@
 
 /** Loads the lists again whenever a file changes. Returns the end of the watch. */
 export const watchFiles = (
-  store: platform.keyValueStore.KeyValueStore,
+  store: stores.keyValueStore.KeyValueStore,
   files: ListFiles,
 ): (() => void) => {
   const readStamps = (): string => `${readStamp(files.plansFile)}|${readStamp(files.modelsFile)}`;
--- a/packages/router/src/feeds/configFeed.ts
+++ b/packages/router/src/feeds/configFeed.ts
@@ -1,5 +1,5 @@
 import * as core from '@jayrock/core';
-import * as platform from '@jayrock/platform';
+import * as stores from '@jayrock/stores';
 import type * as runtime from '../runtime.js';
 
 /** Routers of a zone that hold the watch on the configuration. */
@@ -27,23 +27,23 @@
  */
 export const startConfigFeed = (
   node: runtime.Runtime,
-  store: platform.keyValueStore.KeyValueStore,
+  store: stores.keyValueStore.KeyValueStore,
   onNewGeneration: (generation: number) => void,
 ): ConfigFeed => {
-  let stopWatch: platform.keyValueStore.StopWatch | null = null;
+  let stopWatch: stores.keyValueStore.StopWatch | null = null;
   let nextReadAtMs = 0;
   let isReading = false;
   const getGeneration = (): number => node.getState().config?.generation ?? 0;
 
-  const fetchNewer = async (head: platform.configStore.ConfigHead): Promise<void> => {
-    const fetched = await platform.configStore.fetchConfiguration(store, head);
+  const fetchNewer = async (head: stores.configStore.ConfigHead): Promise<void> => {
+    const fetched = await stores.configStore.fetchConfiguration(store, head);
     if (fetched.ok) {
       node.dispatch({ type: 'configAdopted', configuration: fetched.value });
       onNewGeneration(head.generation);
     }
   };
   const refresh = async (): Promise<void> => {
-    const found = await platform.configStore.readHead(store);
+    const found = await stores.configStore.readHead(store);
     if (!found.ok || found.value.head === null) {
       return;
     }
@@ -78,7 +78,7 @@
   };
   const updateWatch = (): void => {
     if (isWatcher() && stopWatch === null) {
-      stopWatch = store.watch(platform.configStore.HEAD_KEY, readNow);
+      stopWatch = store.watch(stores.configStore.HEAD_KEY, readNow);
     } else if (!isWatcher() && stopWatch !== null) {
       stopWatch();
       stopWatch = null;
--- a/packages/router/src/feeds/hostFeed.ts
+++ b/packages/router/src/feeds/hostFeed.ts
@@ -1,4 +1,4 @@
-import type * as platform from '@jayrock/platform';
+import type * as stores from '@jayrock/stores';
 import * as shared from '@jayrock/shared';
 import type * as runtime from '../runtime.js';
 
@@ -15,7 +15,7 @@
 /** Follows the platform's host list. */
 export const startHostFeed = (
   node: runtime.Runtime,
-  hostList: platform.hostList.HostList,
+  hostList: stores.hostList.HostList,
   onEntryHosts: (hosts: readonly shared.hosts.Host[]) => void,
 ): Feed => {
   let lastText = '';
--- a/packages/router/src/feeds/loadFeed.ts
+++ b/packages/router/src/feeds/loadFeed.ts
@@ -1,5 +1,5 @@
 import * as core from '@jayrock/core';
-import * as platform from '@jayrock/platform';
+import * as stores from '@jayrock/stores';
 import type * as shared from '@jayrock/shared';
 import type * as rpcClient from '../peers/rpcClient.js';
 import type * as runtime from '../runtime.js';
@@ -36,7 +36,7 @@
   let round = 0;
   const readReport = async (host: shared.hosts.Host): Promise<Report | null> => {
     reading.add(host.id);
-    const report = await platform.loadReports.fetchLoadReport(host.address);
+    const report = await stores.loadReports.fetchLoadReport(host.address);
     reading.delete(host.id);
     if (report === null) {
       return null;
--- a/packages/router/src/ledger/ledgerService.ts
+++ b/packages/router/src/ledger/ledgerService.ts
@@ -1,5 +1,5 @@
 import * as core from '@jayrock/core';
-import type * as platform from '@jayrock/platform';
+import type * as stores from '@jayrock/stores';
 import * as shared from '@jayrock/shared';
 import type * as rpcClient from '../peers/rpcClient.js';
 import type * as runtime from '../runtime.js';
@@ -49,7 +49,7 @@
 /** Makes the ledger service of a router. */
 export const startLedgerService = (
   node: runtime.Runtime,
-  store: platform.keyValueStore.KeyValueStore,
+  store: stores.keyValueStore.KeyValueStore,
   client: rpcClient.RpcClient,
 ): LedgerService => {
   let unwitnessed: readonly Entry[] = [];
--- a/packages/router/src/openPlatform.ts
+++ b/packages/router/src/openPlatform.ts
@@ -1,28 +1,28 @@
 import * as path from 'node:path';
-import * as platform from '@jayrock/platform';
+import * as stores from '@jayrock/stores';
 import * as shared from '@jayrock/shared';
 import * as undici from 'undici';
 import * as embeddedLists from './embeddedLists.js';
 
 /** The platform's services as one router uses them. */
 export interface Platform {
-  readonly store: platform.keyValueStore.KeyValueStore;
-  readonly hostList: platform.hostList.HostList;
-  readonly rating: platform.ratingService.RatingService;
+  readonly store: stores.keyValueStore.KeyValueStore;
+  readonly hostList: stores.hostList.HostList;
+  readonly rating: stores.ratingService.RatingService;
   readonly close: () => Promise<void>;
 }
 
 type Opened = shared.outcome.Outcome<Platform, readonly shared.jsonc.FileProblem[]>;
 
-const openRating = (address: string | undefined): platform.ratingService.RatingService =>
+const openRating = (address: string | undefined): stores.ratingService.RatingService =>
   address === undefined
-    ? platform.ratingService.NO_RATING_SERVICE
-    : platform.ratingService.openRatingService(address);
+    ? stores.ratingService.NO_RATING_SERVICE
+    : stores.ratingService.openRatingService(address);
 
 type Embedded = Extract<shared.settings.PlatformSettings, { kind: 'embedded' }>;
 
 const openEmbedded = async (settings: Embedded, baseDir: string): Promise<Opened> => {
-  const store = platform.memoryStore.openMemoryStore();
+  const store = stores.memoryStore.openMemoryStore();
   const files = {
     plansFile: path.resolve(baseDir, settings.plansFile),
     modelsFile: path.resolve(baseDir, settings.modelsFile),
@@ -35,7 +35,7 @@
   const hosts = settings.upstreams.map((upstream) => ({ ...upstream, state: 'live' as const }));
   return shared.outcome.makeOk({
     store,
-    hostList: platform.hostList.makeStaticHostList(hosts),
+    hostList: stores.hostList.makeStaticHostList(hosts),
     rating: openRating(settings.ratingAddress),
     close: async () => stopWatching(),
   });
@@ -44,11 +44,11 @@
 type Service = Extract<shared.settings.PlatformSettings, { kind: 'service' }>;
 
 const openService = async (settings: Service, localAddress: string): Promise<Opened> => {
-  const store = platform.etcdStore.openEtcdStore(settings.keyValueAddress, localAddress);
+  const store = stores.etcdStore.openEtcdStore(settings.keyValueAddress, localAddress);
   const outgoing = new undici.Agent({ localAddress });
   return shared.outcome.makeOk({
     store,
-    hostList: platform.hostList.openHostList(settings.hostListAddress, outgoing),
+    hostList: stores.hostList.openHostList(settings.hostListAddress, outgoing),
     rating: openRating(settings.ratingAddress),
     close: async () => {
       await Promise.all([store.close(), outgoing.destroy()]);
--- a/packages/router/src/orders/orderLease.ts
+++ b/packages/router/src/orders/orderLease.ts
@@ -1,4 +1,4 @@
-import type * as platform from '@jayrock/platform';
+import type * as stores from '@jayrock/stores';
 
 /** Time a lease lives without being kept, in seconds. */
 const TTL_SECONDS = 10;
@@ -28,7 +28,7 @@
  * goes on while the process is paused.
  */
 export const makeOrderLease = (
-  store: platform.keyValueStore.KeyValueStore,
+  store: stores.keyValueStore.KeyValueStore,
   zone: string,
   holder: string,
   getNowMs: () => number = () => performance.now(),
--- a/packages/router/src/orders/orderService.ts
+++ b/packages/router/src/orders/orderService.ts
@@ -1,5 +1,5 @@
 import * as core from '@jayrock/core';
-import * as platform from '@jayrock/platform';
+import * as stores from '@jayrock/stores';
 import type * as pino from 'pino';
 import type * as rpcClient from '../peers/rpcClient.js';
 import type * as runtime from '../runtime.js';
@@ -19,7 +19,7 @@
 /** Starts the order service of a router. */
 export const startOrderService = (
   node: runtime.Runtime,
-  store: platform.keyValueStore.KeyValueStore,
+  store: stores.keyValueStore.KeyValueStore,
   client: rpcClient.RpcClient,
   log: pino.Logger,
 ): OrderService => {
@@ -51,7 +51,7 @@
     if (fencing === null) {
       return;
     }
-    const result = await platform.engineOrders.sendOrder(order.address, {
+    const result = await stores.engineOrders.sendOrder(order.address, {
       fencing,
       loaded: order.loaded,
     });
--- a/packages/router/src/peers/configPacking.ts
+++ b/packages/router/src/peers/configPacking.ts
@@ -1,5 +1,5 @@
 import * as zlib from 'node:zlib';
-import * as platform from '@jayrock/platform';
+import * as stores from '@jayrock/stores';
 import type * as shared from '@jayrock/shared';
 
 /** Packs a configuration for its way to a peer. */
@@ -10,7 +10,7 @@
 export const decodeConfig = (packed: string): shared.lists.Configuration | null => {
   try {
     const value: unknown = JSON.parse(zlib.gunzipSync(Buffer.from(packed, 'base64')).toString());
-    const checked = platform.configStore.validateConfiguration(value);
+    const checked = stores.configStore.validateConfiguration(value);
     return checked.ok ? checked.value : null;
   } catch {
     return null;
--- a/packages/router/src/rolloutProposals.ts
+++ b/packages/router/src/rolloutProposals.ts
@@ -1,5 +1,5 @@
 import type * as core from '@jayrock/core';
-import * as platform from '@jayrock/platform';
+import * as stores from '@jayrock/stores';
 import type * as pino from 'pino';
 
 type Proposal = core.effects.EffectOf<'proposeRollout'>;
@@ -9,8 +9,8 @@
 /** Times a change is tried. */
 const MAX_TRIES = 60;
 
-const makeEdit = (proposal: Proposal): platform.configEdits.ListEdit =>
-  platform.configEdits.makeRolloutEdit(proposal.change, {
+const makeEdit = (proposal: Proposal): stores.configEdits.ListEdit =>
+  stores.configEdits.makeRolloutEdit(proposal.change, {
     model: proposal.model,
     version: proposal.to,
     ...(proposal.change === 'advance' ? { fromStep: proposal.fromStep } : {}),
@@ -18,11 +18,11 @@
 
 /** Writes the changes of roll-outs that the reducer proposes; another router may be first. */
 export const makeProposer = (
-  store: platform.keyValueStore.KeyValueStore,
+  store: stores.keyValueStore.KeyValueStore,
   log: pino.Logger,
 ): ((proposal: Proposal) => void) => {
   const propose = async (proposal: Proposal, tries: number): Promise<void> => {
-    const result = await platform.configEdits.editWithRetry(store, makeEdit(proposal));
+    const result = await stores.configEdits.editWithRetry(store, makeEdit(proposal));
     if (result.ok) {
       log.info({ ...proposal, generation: result.value.generation }, 'roll-out changed');
     } else if (result.error.kind === 'store' && tries > 1) {
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -1,5 +1,5 @@
 import * as core from '@jayrock/core';
-import * as platform from '@jayrock/platform';
+import * as stores from '@jayrock/stores';
 import * as shared from '@jayrock/shared';
 import type * as fastify from 'fastify';
 import * as pino from 'pino';
@@ -34,7 +34,7 @@
 /** Time a stopping router tries to get its billing entries written, in milliseconds. */
 const FLUSH_MS = 10_000;
 /** Calls a second that one router may make to the key-value service. */
-const STORE_BUDGET: platform.budgetedStore.CallBudget = { callsPerSecond: 100, burst: 200 };
+const STORE_BUDGET: stores.budgetedStore.CallBudget = { callsPerSecond: 100, burst: 200 };
 
 /** A router in service. */
 export interface RunningRouter {
@@ -63,7 +63,7 @@
 /** Services of one router that talk to peers and the platform. */
 interface Services {
   readonly client: rpcClient.RpcClient;
-  readonly store: platform.budgetedStore.BudgetedStore;
+  readonly store: stores.budgetedStore.BudgetedStore;
   readonly claims: claimService.ClaimService;
   readonly ledger: ledgerService.LedgerService;
   readonly sessions: namedSessions.NamedSessions;
@@ -78,7 +78,7 @@
   log: pino.Logger,
 ): Services => {
   const client = rpcClient.makeRpcClient(settings.peerSecret, getLocalAddress(settings));
-  const store = platform.budgetedStore.makeBudgetedStore(opened.store, STORE_BUDGET);
+  const store = stores.budgetedStore.makeBudgetedStore(opened.store, STORE_BUDGET);
   return {
     client,
     store,
--- a/packages/router/src/statusServer.ts
+++ b/packages/router/src/statusServer.ts
@@ -1,6 +1,6 @@
 import * as fastify from 'fastify';
 import * as core from '@jayrock/core';
-import type * as platform from '@jayrock/platform';
+import type * as stores from '@jayrock/stores';
 import type * as rpcClient from './peers/rpcClient.js';
 import type * as runtime from './runtime.js';
 import type * as serviceLevels from './serviceLevels.js';
@@ -8,7 +8,7 @@
 /** What the operators' listener shows. */
 export interface StatusContext {
   readonly node: runtime.Runtime;
-  readonly store: platform.budgetedStore.BudgetedStore;
+  readonly store: stores.budgetedStore.BudgetedStore;
   readonly client: rpcClient.RpcClient;
   readonly levels: serviceLevels.ServiceLevels;
 }
