--- a/packages-private/measure/src/demoMain.ts
+++ b/packages-private/measure/src/demoMain.ts
@@ -163,6 +163,7 @@
   const behind = await site.startSite(name, settings.platform.upstreams, ratingPort);
   const started = await router.startRouter.startRouter(
     { ...settings, logLevel: 'warn' },
+    settings.platform,
     site.getSiteDir(name),
   );
   if (!started.ok) {
--- a/packages/core/src/dispatch.ts
+++ b/packages/core/src/dispatch.ts
@@ -5,6 +5,7 @@
 import * as laneState from './laneState.js';
 import * as placement from './placement.js';
 import * as refusal from './refusal.js';
+import * as relaySend from './relay/relaySend.js';
 import * as requestState from './requestState.js';
 import * as routerState from './routerState.js';
 import * as step from './step.js';
@@ -36,6 +37,7 @@
   isSuspect: request.isSuspect,
   isRetry: request.retryCount > 0,
   excluded,
+  routed: request.relay === null ? null : request,
   nowMs: stamp.nowMs,
   random: stamp.random,
 });
@@ -57,9 +59,11 @@
 const takeSlot = (
   upstream: upstreamState.UpstreamState,
   request: requestState.RequestState,
+  prefillTokens: number,
 ): upstreamState.UpstreamState => ({
   ...upstream,
   inFlight: upstream.inFlight + 1,
+  prefillTokens: upstream.prefillTokens + prefillTokens,
   recentPeak: Math.max(upstream.recentPeak, upstream.inFlight + 1),
   longInFlight: upstream.longInFlight + Number(request.isLong),
   suspectInFlight: upstream.suspectInFlight + Number(request.isSuspect),
@@ -110,6 +114,7 @@
     startedAtMs: stamp.nowMs,
     isHedge,
     isOverdue: false,
+    prefillTokens: relaySend.estimatePrefill(current, request, upstreamId, stamp.nowMs),
   };
   const running: requestState.RequestState = {
     ...request,
@@ -122,7 +127,7 @@
   const lane = routerState.getLane(current, request.service, stamp.nowMs);
   const next = routerState.updateLane(
     routerState.updateUpstream(routerState.setRequest(current, running), upstreamId, (one) =>
-      takeSlot(one, request),
+      takeSlot(one, request, attempt.prefillTokens),
     ),
     request.service,
     stamp.nowMs,
@@ -144,8 +149,11 @@
     versionId: request.versionId,
     priority: request.isLong ? 1 : 0,
     resumeFrom: request.tokensRelayed,
+    relay: relaySend.makeSend(request, target.host, stamp.nowMs),
   };
-  return step.makeStep(next, start, ...makeHedgeTimer(lane, running, attempt.id));
+  const counted = relaySend.countSend(next, request, stamp.nowMs);
+  const timers = request.relay === null ? makeHedgeTimer(lane, running, attempt.id) : [];
+  return step.makeStep(counted, start, ...timers);
 };
 
 /** Reserves an upstream while the claim of a request that may not be repeated is written. */
@@ -165,7 +173,8 @@
   upstreamId: string,
   stamp: events.Stamp,
 ): step.Step =>
-  request.isRepeatable || request.hasClaim
+  // A routed request is handled by one router alone, so that it needs no claim.
+  request.isRepeatable || request.hasClaim || request.relay !== null
     ? startAttempt(current, request, upstreamId, false, stamp)
     : startClaim(current, request);
 
@@ -238,7 +247,7 @@
   return step.makeStep(next, {
     type: 'armTimer',
     timer: { kind: 'queueDeadline', requestId: request.id },
-    delayMs: Math.max(0, request.deadlineAtMs - nowMs),
+    delayMs: Math.max(0, (request.relay?.queueUntilMs ?? request.deadlineAtMs) - nowMs),
   });
 };
 
--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -1,9 +1,31 @@
 import type * as shared from '@jayrock/shared';
 import type * as claimLog from './claims/claimLog.js';
 import type * as events from './events.js';
+import type * as versionTrial from './relay/versionTrial.js';
 import type * as requestState from './requestState.js';
 import type * as versionId from './versionId.js';
 
+/** What a send of a routed request tells the upstream. */
+export interface RelaySend {
+  /** Model asked for, or null when the request names its own or none. */
+  readonly model: string | null;
+  /** Rank among the upstream's waiting work, 0 first. */
+  readonly rank: number;
+  /** Organisation that holds the caller's key, or null on a public route. */
+  readonly organisation: string | null;
+  /** Time the upstream is given, in milliseconds. */
+  readonly timeLeftMs: number;
+  /** Last event the caller has, or null. */
+  readonly lastEventId: number | null;
+  /** Time without an answer after which the upstream counts as silent, in milliseconds. */
+  readonly headTimeoutMs: number;
+  /** Time without a further event after which it counts as silent, in milliseconds. */
+  readonly gapTimeoutMs: number;
+  /** True when the answer is a stream of events. */
+  readonly isStream: boolean;
+  readonly host: shared.hosts.Host;
+}
+
 /** Payloads of all effects, by type. */
 export interface EffectBodies {
   readonly refuse: {
@@ -24,6 +46,15 @@
     readonly priority: number;
     /** Tokens the caller already has. */
     readonly resumeFrom: number;
+    /** What only a routed request sends, or null. */
+    readonly relay: RelaySend | null;
+  };
+  /** Pass an attempt's answer on to the caller. */
+  readonly relayAnswer: { readonly requestId: string; readonly attemptId: number };
+  /** Write the end of a roll-out to the store. */
+  readonly settleTrial: {
+    readonly order: versionTrial.VersionOrder;
+    readonly stage: 'completed' | 'rolledBack';
   };
   readonly relayAttempt: {
     readonly requestId: string;
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -2,6 +2,9 @@
 import type * as claimLog from './claims/claimLog.js';
 import type * as demand from './orders/demand.js';
 import type * as member from './membership/member.js';
+import type * as relayState from './relay/relayState.js';
+import type * as trialEvidence from './relay/trialEvidence.js';
+import type * as versionTrial from './relay/versionTrial.js';
 import type * as requestState from './requestState.js';
 import type * as versionId from './versionId.js';
 
@@ -17,6 +20,13 @@
 export type AttemptFailure =
   'unreachable' | 'crashed' | 'silent' | 'failed' | 'busy' | 'garbage' | 'incomplete';
 
+/**
+ * Why an attempt of a routed request ended without a whole answer. `turnedAway`: the upstream said
+ * that it did not run it. `misdirected`: another upstream has the address.
+ */
+export type RelayFailure =
+  'unreachable' | 'broken' | 'silent' | 'garbage' | 'turnedAway' | 'misdirected';
+
 /** Payloads of all events, by type. */
 export interface EventBodies {
   readonly configAdopted: { readonly configuration: shared.lists.Configuration };
@@ -108,6 +118,48 @@
   /** The zone's lease for orders is held. */
   readonly ordersDue: Readonly<Record<never, never>>;
   readonly demandTold: { readonly source: string; readonly rows: readonly demand.DemandRow[] };
+  readonly routesAdopted: { readonly table: shared.routeTable.RouteTable };
+  readonly hostChanged: { readonly host: shared.hosts.Host };
+  readonly hostRemoved: { readonly hostId: string };
+  readonly relayArrived: {
+    readonly requestId: string;
+    readonly call: relayState.RelayCall;
+    /** Age of the last confirmation of the table of routes, in milliseconds. */
+    readonly viewAgeMs: number;
+  };
+  readonly relayHeadArrived: {
+    readonly requestId: string;
+    readonly attemptId: number;
+    readonly head: relayState.AnswerHead;
+  };
+  readonly relayEnded: { readonly requestId: string; readonly attemptId: number };
+  readonly relayFailed: {
+    readonly requestId: string;
+    readonly attemptId: number;
+    readonly failure: RelayFailure;
+    /** True when no byte of the request can have reached the upstream. */
+    readonly isUnsent: boolean;
+    /** True when the upstream has proved that it did not run the request. */
+    readonly isNotRun: boolean;
+    /** True when the upstream's process is known to have ended. */
+    readonly hasCrashed: boolean;
+    /** Last event passed to the caller, or null before the first. */
+    readonly lastEventId: number | null;
+  };
+  readonly trialSeen: {
+    readonly order: versionTrial.VersionOrder;
+    readonly stage: versionTrial.TrialStage;
+    /** Time since the order was first seen by any router, in milliseconds. */
+    readonly elapsedMs: number;
+  };
+  readonly trialTold: {
+    readonly source: string;
+    readonly service: string;
+    readonly revision: number;
+    readonly isBad: boolean;
+    readonly rows: readonly trialEvidence.EvidenceRow[];
+    readonly oldRunning: number;
+  };
   readonly ticked: Readonly<Record<never, never>>;
   readonly stopRequested: Readonly<Record<never, never>>;
 }
@@ -134,7 +186,9 @@
 export type Timer =
   | { readonly kind: 'queueDeadline'; readonly requestId: string }
   | { readonly kind: 'hedge'; readonly requestId: string; readonly attemptId: number }
-  | { readonly kind: 'retry'; readonly requestId: string };
+  | { readonly kind: 'retry'; readonly requestId: string }
+  /** The route's timeout or the caller's deadline has passed. */
+  | { readonly kind: 'relayTimeout'; readonly requestId: string };
 
 /** Type tag of an event. */
 export type EventType = keyof EventBodies;
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -6,6 +6,7 @@
 import * as health from './health.js';
 import * as learning from './learning.js';
 import * as demand from './orders/demand.js';
+import * as relayTrials from './relay/relayTrials.js';
 import * as reroute from './reroute.js';
 import * as rollouts from './rollouts.js';
 import type * as routerState from './routerState.js';
@@ -16,8 +17,11 @@
 const listRunnable = (
   upstream: upstreamState.UpstreamState,
   services: ReadonlyMap<string, shared.lists.Service>,
+  routed: ReadonlyMap<string, shared.routeTable.RoutedService> | undefined,
 ): readonly versionId.VersionId[] =>
-  services.get(upstream.host.service)?.kind === 'plain' ? [upstream.host.service] : upstream.loaded;
+  services.get(upstream.host.service)?.kind === 'plain' || routed?.has(upstream.host.service) === true
+    ? [upstream.host.service]
+    : upstream.loaded;
 
 interface MutableCandidates {
   readonly local: string[];
@@ -35,7 +39,7 @@
     .filter((upstream) => upstream.host.state === 'live')
     .sortBy((upstream) => upstream.host.id);
   live.forEach((upstream) => {
-    listRunnable(upstream, services).forEach((id) => {
+    listRunnable(upstream, services, current.relay.view?.services).forEach((id) => {
       const known = index.get(id) ?? { local: [], remote: [] };
       const isLocal = upstream.host.zone === current.self.zone;
       (isLocal ? known.local : known.remote).push(upstream.host.id);
@@ -45,7 +49,8 @@
   return index;
 };
 
-const withCandidates = (current: routerState.RouterState): routerState.RouterState => ({
+/** Replaces the index of live upstreams. */
+export const withCandidates = (current: routerState.RouterState): routerState.RouterState => ({
   ...current,
   candidates: indexCandidates(current),
 });
@@ -144,7 +149,8 @@
     (done, service) => step.chainStep(done, (next) => dispatch.drainService(next, service, event)),
     step.makeStep(healed),
   );
-  return step.chainStep(drained, (next) => rollouts.tickRollouts(next, event.nowMs));
+  const rolled = step.chainStep(drained, (next) => rollouts.tickRollouts(next, event.nowMs));
+  return step.chainStep(rolled, (next) => relayTrials.tickTrials(next, event.nowMs));
 };
 
 const handleStopRequested = (current: routerState.RouterState): step.Step =>
--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -3,6 +3,7 @@
 import type * as laneState from './laneState.js';
 import type * as policy from './policy.js';
 import * as random from './random.js';
+import * as relayPlacement from './relay/relayPlacement.js';
 import type * as requestState from './requestState.js';
 import type * as routerState from './routerState.js';
 import * as upstreamState from './upstreamState.js';
@@ -29,6 +30,8 @@
   readonly isRetry: boolean;
   /** Upstreams that must not be chosen. */
   readonly excluded: readonly string[];
+  /** The request, if it is a routed one. */
+  readonly routed: requestState.RequestState | null;
   readonly nowMs: number;
   readonly random: number;
 }
@@ -54,8 +57,7 @@
   probation: 1,
 };
 
-/** Tells whether an upstream may take a request now. */
-export const canAccept = (
+const canTakeCall = (
   current: routerState.RouterState,
   upstream: upstreamState.UpstreamState,
   query: PlacementQuery,
@@ -70,6 +72,23 @@
   (current.policy.queue === 'firstCome' || hasLongRoom(upstream, query)) &&
   hasFreeSlot(upstream, query);
 
+const makeRelayQuery = (query: PlacementQuery): relayPlacement.RelayQuery | null => {
+  const relay = query.routed?.relay ?? null;
+  return query.routed === null || relay === null ? null : { ...query, request: query.routed, relay };
+};
+
+/** Tells whether an upstream may take a request now. */
+export const canAccept = (
+  current: routerState.RouterState,
+  upstream: upstreamState.UpstreamState,
+  query: PlacementQuery,
+): boolean => {
+  const routed = makeRelayQuery(query);
+  return routed === null
+    ? canTakeCall(current, upstream, query)
+    : relayPlacement.canAccept(current, upstream, routed);
+};
+
 const findAccepting = (
   current: routerState.RouterState,
   id: string | undefined,
@@ -190,7 +209,12 @@
   current: routerState.RouterState,
   query: PlacementQuery,
   lane: laneState.Lane,
-): string | null =>
-  query.isSuspect
+): string | null => {
+  const routed = makeRelayQuery(query);
+  if (routed !== null) {
+    return relayPlacement.pickUpstream(current, routed);
+  }
+  return query.isSuspect
     ? pickForSuspect(current, query, lane)
     : PLACEMENT_HANDLERS[current.policy.upstream](current, query, lane);
+};
--- a/packages/core/src/reduce.ts
+++ b/packages/core/src/reduce.ts
@@ -8,6 +8,10 @@
 import * as ledgerBook from './ledger/ledgerBook.js';
 import * as membership from './membership/membership.js';
 import * as orders from './orders/orders.js';
+import * as relayAnswers from './relay/relayAnswers.js';
+import * as relayArrival from './relay/relayArrival.js';
+import * as relayFeeds from './relay/relayFeeds.js';
+import * as relayTrials from './relay/relayTrials.js';
 import * as reroute from './reroute.js';
 import * as rollouts from './rollouts.js';
 import type * as routerState from './routerState.js';
@@ -31,6 +35,10 @@
   ...ledgerBook.HANDLERS,
   ...membership.HANDLERS,
   ...orders.HANDLERS,
+  ...relayAnswers.HANDLERS,
+  ...relayArrival.HANDLERS,
+  ...relayFeeds.HANDLERS,
+  ...relayTrials.HANDLERS,
   ...rollouts.HANDLERS,
   ...timers.HANDLERS,
 };
--- /dev/null
+++ b/packages/core/src/relay/modelChoice.ts
@@ -0,0 +1,68 @@
+import * as relayState from './relayState.js';
+import * as routeView from './routeView.js';
+
+/** Worth of a thousand weighted tokens of a good answer, in the unit of the models' prices. */
+const VALUE_PER_THOUSAND_TOKENS = 0.35;
+/** Generated tokens count this many times as much as read ones in the worth of an answer. */
+const OUTPUT_WEIGHT = 10;
+/** Read tokens cost this share of generated ones. */
+const INPUT_PRICE_SHARE = 0.25;
+/** Share of its worth that a poor answer still has. */
+const POOR_ANSWER_SHARE = 0.05;
+/** Confidence at which an answer is as likely good as poor. */
+const EVEN_CONFIDENCE = 45;
+/** Change of confidence that moves the odds of a good answer by a factor of e. */
+const CONFIDENCE_SCALE = 8;
+
+/** Estimates the chance that an answer is poor from the model's opinion of it. */
+export const estimatePoorChance = (confidence: number): number =>
+  1 / (1 + Math.exp((confidence - EVEN_CONFIDENCE) / CONFIDENCE_SCALE));
+
+/** Estimates what an answer is worth when it is good. */
+export const estimateValue = (call: relayState.RelayCall): number =>
+  (VALUE_PER_THOUSAND_TOKENS *
+    (call.tokensIn + OUTPUT_WEIGHT * relayState.estimateTokensOut(call))) /
+  1_000;
+
+/** Estimates the price of an answer of a model. */
+export const estimatePrice = (
+  view: routeView.RouteView,
+  service: string,
+  model: string,
+  call: relayState.RelayCall,
+): number =>
+  (routeView.getModelPrice(view, service, model) *
+    (call.tokensIn * INPUT_PRICE_SHARE + relayState.estimateTokensOut(call))) /
+  1_000;
+
+/** Picks the model to try first: the smallest, or the largest for the rest of a begun stream. */
+export const pickFirstModel = (
+  sizes: readonly string[],
+  call: relayState.RelayCall,
+): string | null => {
+  if (call.model !== '*' || sizes.length === 0) {
+    return call.model;
+  }
+  return (call.lastEventId === null ? sizes[0] : sizes.at(-1)) ?? null;
+};
+
+/** Picks the model that should replace an answer, or null when the answer is kept. */
+export const pickBetterModel = (
+  view: routeView.RouteView,
+  service: string,
+  relay: relayState.RelayState,
+  confidence: number | null,
+): string | null => {
+  const largest = relay.route.sizes.at(-1);
+  if (
+    confidence === null ||
+    relay.call.model !== '*' ||
+    largest === undefined ||
+    largest === relay.model
+  ) {
+    return null;
+  }
+  const gain =
+    estimatePoorChance(confidence) * estimateValue(relay.call) * (1 - POOR_ANSWER_SHARE);
+  return gain > estimatePrice(view, service, largest, relay.call) ? largest : null;
+};
--- /dev/null
+++ b/packages/core/src/relay/relayAnswers.ts
@@ -0,0 +1,209 @@
+import * as dispatch from '../dispatch.js';
+import type * as effects from '../effects.js';
+import type * as events from '../events.js';
+import * as health from '../health.js';
+import * as laneState from '../laneState.js';
+import * as quarantine from '../quarantine.js';
+import type * as requestState from '../requestState.js';
+import * as routerState from '../routerState.js';
+import * as slots from '../slots.js';
+import * as step from '../step.js';
+import * as upstreamState from '../upstreamState.js';
+import * as modelChoice from './modelChoice.js';
+import * as prefixMemory from './prefixMemory.js';
+import * as relayContext from './relayContext.js';
+import * as relayRetry from './relayRetry.js';
+import * as relayState from './relayState.js';
+import * as versionTrial from './versionTrial.js';
+
+/** A routed request with the attempt an event speaks of. */
+export interface Located {
+  readonly request: requestState.RequestState;
+  readonly relay: relayState.RelayState;
+  readonly attempt: requestState.Attempt;
+}
+
+/** Finds the attempt an event speaks of; late events of ended attempts find nothing. */
+const findAttempt = (
+  current: routerState.RouterState,
+  event: { readonly requestId: string; readonly attemptId: number },
+): Located | null => {
+  const request = current.requests.get(event.requestId);
+  const attempt = request?.attempts.find((item) => item.id === event.attemptId);
+  const relay = request?.relay ?? null;
+  return request === undefined || attempt === undefined || relay === null
+    ? null
+    : { request, relay, attempt };
+};
+
+/** Counts an answer or a failure as evidence in a roll-out of its service. */
+const countEvidence = (
+  current: routerState.RouterState,
+  { request, relay, attempt }: Located,
+  elapsedMs: number | null,
+  nowMs: number,
+): routerState.RouterState => {
+  const trial = current.relay.trials.get(request.service);
+  const version = current.upstreams.get(attempt.upstreamId)?.host.version;
+  if (trial === undefined || trial.stage !== 'running' || version === undefined) {
+    return current;
+  }
+  const kind = `${relay.route.name}|${relay.model ?? ''}`;
+  const answer = { kind, isNew: version === trial.order.to, elapsedMs };
+  const counted = versionTrial.countAnswer(trial, current.self.routerId, answer, nowMs);
+  const trials = current.relay.trials.set(request.service, versionTrial.judgeTrial(counted));
+  return { ...current, relay: { ...current.relay, trials } };
+};
+
+/** Prompt tokens that take as long as everything else before the first event. */
+const TOKENS_PER_UNIT = 500;
+
+const recordHead = (
+  current: routerState.RouterState,
+  { request, relay, attempt }: Located,
+  nowMs: number,
+): routerState.RouterState => {
+  const units = 1 + attempt.prefillTokens / TOKENS_PER_UNIT;
+  const unitMs = (nowMs - attempt.startedAtMs) / units;
+  const typicalMs = relayContext.getHeadTime(current.relay, request.service, relay.model);
+  const slowness = typicalMs === null ? 1 : unitMs / Math.max(1, typicalMs);
+  const context = relayContext.recordHeadTime(
+    current.relay,
+    request.service,
+    relay.model,
+    unitMs,
+  );
+  const parts = prefixMemory.recordParts(
+    context.parts,
+    attempt.upstreamId,
+    relay.model,
+    relay.call,
+    nowMs,
+  );
+  const timed = routerState.updateUpstream(
+    { ...current, relay: { ...context, parts } },
+    attempt.upstreamId,
+    (known) => upstreamState.recordFirstToken(known, slowness, nowMs),
+  );
+  const returned = health.judgeProbation(timed, attempt.upstreamId, slowness, nowMs);
+  return health.judgeUpstream(returned, attempt.upstreamId, nowMs);
+};
+
+/** An attempt that has its head no longer waits to read its prompt. */
+const clearPrefill = (
+  current: routerState.RouterState,
+  { request, attempt }: Located,
+): routerState.RouterState =>
+  routerState.setRequest(
+    routerState.updateUpstream(current, attempt.upstreamId, (known) => ({
+      ...known,
+      prefillTokens: Math.max(0, known.prefillTokens - attempt.prefillTokens),
+    })),
+    {
+      ...request,
+      attempts: request.attempts.map((item) =>
+        item.id === attempt.id ? { ...item, prefillTokens: 0 } : item,
+      ),
+    },
+  );
+
+const relayHead = (
+  current: routerState.RouterState,
+  located: Located,
+): step.Step => {
+  const version = current.upstreams.get(located.attempt.upstreamId)?.host.version ?? null;
+  const request = current.requests.get(located.request.id) ?? located.request;
+  return step.makeStep(
+    routerState.setRequest(current, {
+      ...request,
+      relayedAttempt: located.attempt.id,
+      relay: { ...located.relay, version },
+    }),
+    { type: 'relayAnswer', requestId: request.id, attemptId: located.attempt.id },
+  );
+};
+
+const handleHead = (
+  current: routerState.RouterState,
+  event: events.EventOf<'relayHeadArrived'>,
+): step.Step => {
+  const located = findAttempt(current, event);
+  if (located === null) {
+    return step.makeStep(current);
+  }
+  const { request, relay, attempt } = located;
+  const elapsedMs = event.nowMs - attempt.startedAtMs;
+  if (event.head.status >= relayState.FIRST_FAILURE_STATUS) {
+    const counted = countEvidence(current, located, null, event.nowMs);
+    return relayRetry.retryAnswered(counted, located, event);
+  }
+  const counted = countEvidence(current, located, elapsedMs, event.nowMs);
+  const timed = clearPrefill(recordHead(counted, located, event.nowMs), located);
+  const { view } = timed.relay;
+  const isFirstPiece = request.relayedAttempt === null && relay.lastEventId === null;
+  const better =
+    view === null || !isFirstPiece
+      ? null
+      : modelChoice.pickBetterModel(view, request.service, relay, event.head.confidence);
+  const replaced =
+    better === null ? null : relayRetry.replaceModel(timed, located, better, event);
+  return replaced ?? relayHead(timed, located);
+};
+
+const handleEnded = (
+  current: routerState.RouterState,
+  event: events.EventOf<'relayEnded'>,
+): step.Step => {
+  const located = findAttempt(current, event);
+  if (located === null) {
+    return step.makeStep(current);
+  }
+  const { request, attempt } = located;
+  const freed = slots.releaseAttempt(current, request.id, attempt, event.nowMs);
+  const timed = routerState.updateLane(freed, request.service, event.nowMs, (lane) =>
+    laneState.recordFinished(
+      lane,
+      request.expectedTokens,
+      event.nowMs - attempt.startedAtMs,
+      event.nowMs,
+    ),
+  );
+  const finished: routerState.RouterState = {
+    ...timed,
+    requests: timed.requests.remove(request.id),
+    quarantine: quarantine.clearSuspicion(timed.quarantine, request.shape.fingerprint),
+  };
+  const effect: effects.EffectOf<'finishAnswer'> = {
+    type: 'finishAnswer',
+    requestId: request.id,
+    pin: null,
+    hasMovedSession: false,
+  };
+  return step.chainStep(step.makeStep(finished, effect), (next) =>
+    dispatch.drainUpstream(next, attempt.upstreamId, event),
+  );
+};
+
+/** Failures that say something about the upstream's version. */
+const EVIDENCE: ReadonlySet<events.RelayFailure> = new Set(['broken', 'silent', 'garbage']);
+
+const handleFailed = (
+  current: routerState.RouterState,
+  event: events.EventOf<'relayFailed'>,
+): step.Step => {
+  const located = findAttempt(current, event);
+  if (located === null) {
+    return step.makeStep(current);
+  }
+  const counted = EVIDENCE.has(event.failure)
+    ? countEvidence(current, located, null, event.nowMs)
+    : current;
+  return relayRetry.recoverFailed(counted, located, event);
+};
+
+/** Handlers of the answers of routed requests. */
+export const HANDLERS = {
+  relayHeadArrived: handleHead,
+  relayEnded: handleEnded,
+  relayFailed: handleFailed,
+} as const;
--- /dev/null
+++ b/packages/core/src/relay/relayPlacement.ts
@@ -0,0 +1,183 @@
+import * as shared from '@jayrock/shared';
+import type * as requestState from '../requestState.js';
+import type * as routerState from '../routerState.js';
+import * as upstreamState from '../upstreamState.js';
+import * as prefixMemory from './prefixMemory.js';
+import type * as relayState from './relayState.js';
+import * as versionTrial from './versionTrial.js';
+
+/** What a routed request needs of an upstream. */
+export interface RelayQuery {
+  readonly request: requestState.RequestState;
+  readonly relay: relayState.RelayState;
+  /** Upstreams that must not be chosen. */
+  readonly excluded: readonly string[];
+  readonly nowMs: number;
+  readonly random: number;
+}
+
+/** Prompt tokens that weigh as much as one full upstream. */
+const TOKENS_PER_LOAD = 16_000;
+/** Score of crossing between zones, in units of a full upstream. */
+const ZONE_PENALTY = 0.15;
+/** Score of reading a thousand shared tokens again, in units of a full upstream. */
+const REREAD_PENALTY = 0.02;
+/** Shared tokens from which all routers prefer one upstream for a subject. */
+const MIN_SUBJECT_TOKENS = 1_000;
+/** Requests that an upstream without batches may hold beyond its slots. */
+const QUEUE_SLOTS = 2;
+/** Spread that keeps routers with the same view from choosing alike. */
+const SPREAD = 0.05;
+/** Bounds of a learned slowness, so that one sample cannot decide. */
+const MIN_SLOWNESS = 0.3;
+const MAX_SLOWNESS = 8;
+
+const isEngine = (current: routerState.RouterState, service: string): boolean =>
+  (current.relay.view?.services.get(service)?.engine ?? null) !== null;
+
+/** Tells whether a roll-out lets a request run on an upstream's version. */
+export const isVersionAllowed = (
+  trial: versionTrial.VersionTrial | undefined,
+  version: string | undefined,
+  request: requestState.RequestState,
+  relay: relayState.RelayState,
+  nowMs: number,
+): boolean => {
+  if (trial === undefined) {
+    return true;
+  }
+  const isNew = version === trial.order.to;
+  const share = versionTrial.getShare(trial, nowMs);
+  const hash = shared.hash.hashToFraction(`${trial.order.service}|${getSessionKey(request, relay)}`);
+  return isNew ? hash < share : hash >= share;
+};
+
+/** Names what keeps its version through a roll-out: the session, or else the request. */
+export const getSessionKey = (
+  request: requestState.RequestState,
+  relay: relayState.RelayState,
+): string => relay.call.session ?? prefixMemory.getSubject(relay.call) ?? request.id;
+
+const canTake = (
+  current: routerState.RouterState,
+  upstream: upstreamState.UpstreamState,
+  query: RelayQuery,
+): boolean => {
+  const { request, relay, nowMs } = query;
+  const trial = current.relay.trials.get(upstream.host.service);
+  const slots = upstream.host.slots ?? upstream.slots;
+  const room = isEngine(current, upstream.host.service) ? 0 : QUEUE_SLOTS;
+  return (
+    upstream.host.state === 'live' &&
+    !query.excluded.includes(upstream.host.id) &&
+    isVersionAllowed(trial, upstream.host.version, request, relay, nowMs) &&
+    (upstream.inFlight === 0 || upstreamState.estimateLoad(upstream, nowMs) + 1 <= slots + room)
+  );
+};
+
+const HEALTH_LIMITS: Readonly<Record<upstreamState.UpstreamHealth, number>> = {
+  ok: Infinity,
+  ejected: 0,
+  probation: 1,
+};
+
+const isHealthy = (upstream: upstreamState.UpstreamState): boolean =>
+  upstream.inFlight < HEALTH_LIMITS[upstream.health];
+
+/** Tells whether an upstream may take a routed request now. */
+export const canAccept = (
+  current: routerState.RouterState,
+  upstream: upstreamState.UpstreamState,
+  query: RelayQuery,
+): boolean => isHealthy(upstream) && canTake(current, upstream, query);
+
+/** Time for which a machine's reported slowness holds, in milliseconds. */
+const SLOWNESS_FRESH_MS = 800;
+
+const getSlowness = (upstream: upstreamState.UpstreamState, nowMs: number): number => {
+  const learned = upstream.slowness.count === 0 ? 1 : upstream.slowness.value;
+  const isFresh = nowMs - upstream.reportedAtMs < SLOWNESS_FRESH_MS;
+  const told = isFresh ? Math.sqrt(upstream.machineSlowness) : 1;
+  return Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, learned * told));
+};
+
+/** Tells whether an upstream is the one that all routers prefer for a subject. */
+const findHome = (
+  upstreams: readonly upstreamState.UpstreamState[],
+  call: relayState.RelayCall,
+): string | null => {
+  const subject = prefixMemory.getSubject(call);
+  if (subject === null || prefixMemory.countSharedTokens(call) < MIN_SUBJECT_TOKENS) {
+    return null;
+  }
+  const ids = upstreams.map((one) => one.host.id);
+  return shared.rendezvous.pickRendezvous(subject, ids, 1)[0] ?? null;
+};
+
+const computeScore = (
+  current: routerState.RouterState,
+  upstream: upstreamState.UpstreamState,
+  query: RelayQuery,
+  home: string | null,
+): number => {
+  const { relay, nowMs } = query;
+  const slots = Math.max(1, upstream.host.slots ?? upstream.slots);
+  const load = (upstreamState.estimateLoad(upstream, nowMs) + 1) / slots;
+  const missing = prefixMemory.estimateMissingTokens(
+    current.relay.parts,
+    upstream.host.id,
+    relay.model,
+    relay.call,
+    nowMs,
+  );
+  // The home upstream has read the subject for other routers.
+  const sharedTokens = prefixMemory.countSharedTokens(relay.call);
+  const unread = upstream.host.id === home ? Math.min(missing, relay.call.tokensIn - sharedTokens) : missing;
+  const reading = (upstream.prefillTokens + unread) / TOKENS_PER_LOAD;
+  const reread = (Math.max(0, unread - (relay.call.tokensIn - sharedTokens)) / 1_000) * REREAD_PENALTY;
+  const zone = upstream.host.zone === current.self.zone ? 0 : ZONE_PENALTY;
+  const spread = shared.hash.hashToFraction(`${query.random}|${upstream.host.id}`) * SPREAD;
+  return (load + reading) * getSlowness(upstream, nowMs) + reread + zone + spread;
+};
+
+const pickBest = (
+  current: routerState.RouterState,
+  pool: readonly upstreamState.UpstreamState[],
+  query: RelayQuery,
+  home: string | null,
+): string | null => {
+  let best: { readonly id: string; readonly score: number } | null = null;
+  for (const upstream of pool) {
+    const score = computeScore(current, upstream, query, home);
+    if (best === null || score < best.score) {
+      best = { id: upstream.host.id, score };
+    }
+  }
+  return best?.id ?? null;
+};
+
+/** Lists the live upstreams of a service. */
+export const listUpstreams = (
+  current: routerState.RouterState,
+  service: string,
+): readonly upstreamState.UpstreamState[] => {
+  const found = current.candidates.get(service);
+  return found === undefined
+    ? []
+    : [...found.local, ...found.remote]
+        .map((id) => current.upstreams.get(id))
+        .filter((one) => one !== undefined);
+};
+
+/** Picks an upstream for a routed request; ejected ones only when no other is left. */
+export const pickUpstream = (
+  current: routerState.RouterState,
+  query: RelayQuery,
+): string | null => {
+  const upstreams = listUpstreams(current, query.request.service);
+  const usable = upstreams.filter((one) => canTake(current, one, query));
+  const healthy = usable.filter(isHealthy);
+  const home = findHome(upstreams, query.relay.call);
+  const isLastResort = healthy.length === 0 && upstreams.every((one) => one.health !== 'ok');
+  return pickBest(current, isLastResort ? usable : healthy, query, home);
+};
--- /dev/null
+++ b/packages/core/src/relay/relayRefusal.ts
@@ -0,0 +1,52 @@
+import type * as shared from '@jayrock/shared';
+import type * as events from '../events.js';
+import * as random from '../random.js';
+import * as refusal from '../refusal.js';
+import type * as requestState from '../requestState.js';
+import * as routerState from '../routerState.js';
+import type * as step from '../step.js';
+
+/** Part of its time that a caller may be asked to stay away. */
+const MAX_PAUSE_SHARE = 0.3;
+/** Pause advised when nothing is known of the queue, in milliseconds. */
+const DEFAULT_PAUSE_MS = 400;
+/** Callers refused together come back spread over this part of the pause. */
+const PAUSE_SPREAD = 0.5;
+
+/** Estimates when room is expected, spread so that refused callers do not return together. */
+const computePauseMs = (
+  current: routerState.RouterState,
+  request: requestState.RequestState,
+  stamp: events.Stamp,
+): number => {
+  const lane = routerState.getLane(current, request.service, stamp.nowMs);
+  const rate = lane.throughput.value;
+  const waitMs = rate > 0 ? (lane.queue.cost * 1_000) / rate : DEFAULT_PAUSE_MS;
+  const spread = 1 + PAUSE_SPREAD * random.deriveFraction(stamp.random, 9);
+  const leftMs = Math.max(0, request.deadlineAtMs - stamp.nowMs);
+  return Math.min(leftMs * MAX_PAUSE_SHARE, Math.max(DEFAULT_PAUSE_MS, waitMs) * spread);
+};
+
+/** Refuses a request of which nothing has run, and tells when to come back. */
+export const refuseNotRun = (
+  current: routerState.RouterState,
+  request: requestState.RequestState,
+  code: shared.errorCodes.ErrorCode,
+  stamp: events.Stamp,
+): step.Step =>
+  refusal.refuseRequest(current, request, code, computePauseMs(current, request, stamp));
+
+/** Sends that may have run. */
+export const countPossibleRuns = (request: requestState.RequestState): number =>
+  request.sentCount - (request.relay?.notRunCount ?? 0);
+
+/** Ends a routed request without an answer, saying only what is certain. */
+export const endUnanswered = (
+  current: routerState.RouterState,
+  request: requestState.RequestState,
+  code: shared.errorCodes.ErrorCode,
+  stamp: events.Stamp,
+): step.Step =>
+  countPossibleRuns(request) === 0
+    ? refuseNotRun(current, request, 'overloaded', stamp)
+    : refusal.refuseRequest(current, request, code, null);
--- /dev/null
+++ b/packages/core/src/relay/relayRetry.ts
@@ -0,0 +1,224 @@
+import type * as shared from '@jayrock/shared';
+import * as dispatch from '../dispatch.js';
+import type * as events from '../events.js';
+import * as health from '../health.js';
+import * as memberTable from '../membership/memberTable.js';
+import * as quarantine from '../quarantine.js';
+import type * as requestState from '../requestState.js';
+import * as routerState from '../routerState.js';
+import * as slots from '../slots.js';
+import * as step from '../step.js';
+import type * as upstreamState from '../upstreamState.js';
+import * as relayContext from './relayContext.js';
+import * as relayRefusal from './relayRefusal.js';
+import type * as relayState from './relayState.js';
+import * as sendBudget from './sendBudget.js';
+
+interface Located {
+  readonly request: requestState.RequestState;
+  readonly relay: relayState.RelayState;
+  readonly attempt: requestState.Attempt;
+}
+
+/** Time that must be left for a further send to make sense, in milliseconds. */
+const MIN_LEFT_MS = 30;
+
+const countRouters = (current: routerState.RouterState): number =>
+  memberTable.listAlive(current.members).length + 1;
+
+/** Tells whether one more send fits the request, its time and the fleet's budget. */
+const canSendAgain = (
+  current: routerState.RouterState,
+  request: requestState.RequestState,
+  relay: relayState.RelayState,
+  nowMs: number,
+): boolean =>
+  request.sentCount < relay.route.maxAttempts &&
+  request.deadlineAtMs - nowMs > MIN_LEFT_MS &&
+  sendBudget.hasRepeatRoom(
+    relayContext.getWindow(current.relay, request.service),
+    current.relay.settings.repeats,
+    countRouters(current),
+    nowMs,
+  );
+
+/** Sends a request again, or queues it until an upstream has room. */
+const sendAgain = (
+  current: routerState.RouterState,
+  request: requestState.RequestState,
+  stamp: events.Stamp,
+): step.Step =>
+  dispatch.placeRequest(
+    routerState.setRequest(current, request),
+    { ...request, retryCount: request.retryCount + 1, phase: 'queued' },
+    stamp,
+  );
+
+/** Drops an answer whose model doubts it and asks a better one; null if that is not possible now. */
+export const replaceModel = (
+  current: routerState.RouterState,
+  { request, relay, attempt }: Located,
+  model: string,
+  stamp: events.Stamp,
+): step.Step | null => {
+  if (!canSendAgain(current, request, relay, stamp.nowMs)) {
+    return null;
+  }
+  const wanted: requestState.RequestState = {
+    ...(current.requests.get(request.id) ?? request),
+    relay: { ...relay, model },
+    escalationCount: request.escalationCount + 1,
+    triedUpstreams: [],
+  };
+  const target = dispatch.findUpstream(current, wanted, stamp);
+  if (target === null) {
+    return null;
+  }
+  const noted = routerState.setRequest(current, wanted);
+  const cancelled = slots.cancelAttempt(noted, request.id, attempt, stamp);
+  return step.chainStep(cancelled, (next) => {
+    const held = next.requests.get(request.id);
+    return held === undefined
+      ? step.makeStep(next)
+      : sendAgain(next, { ...held, relay: wanted.relay, triedUpstreams: [] }, stamp);
+  });
+};
+
+const noteUpstream = (
+  current: routerState.RouterState,
+  id: string,
+  nowMs: number,
+  change: (known: upstreamState.UpstreamState) => upstreamState.UpstreamState,
+): routerState.RouterState =>
+  health.judgeUpstream(routerState.updateUpstream(current, id, change), id, nowMs);
+
+const countFailure = (known: upstreamState.UpstreamState): upstreamState.UpstreamState => ({
+  ...known,
+  failuresInRow: known.failuresInRow + 1,
+});
+
+/** An upstream that turns work away is full, whatever its last report said. */
+const markFull =
+  (nowMs: number) =>
+  (known: upstreamState.UpstreamState): upstreamState.UpstreamState => ({
+    ...known,
+    foreignLoad: Math.max(known.foreignLoad, (known.host.slots ?? known.slots) - known.inFlight),
+    reportedAtMs: nowMs,
+  });
+
+/** Another upstream has the address; the host list will follow. */
+const markGone = (known: upstreamState.UpstreamState): upstreamState.UpstreamState => ({
+  ...known,
+  host: { ...known.host, state: 'leaving' },
+});
+
+const UPSTREAM_NOTES: Readonly<
+  Record<
+    events.RelayFailure,
+    (nowMs: number) => (known: upstreamState.UpstreamState) => upstreamState.UpstreamState
+  >
+> = {
+  unreachable: () => countFailure,
+  broken: () => countFailure,
+  silent: () => countFailure,
+  garbage: () => (known) => known,
+  turnedAway: markFull,
+  misdirected: () => markGone,
+};
+
+/** A whole failure of an upstream's own is passed on unless the request may run elsewhere. */
+export const retryAnswered = (
+  current: routerState.RouterState,
+  { request, relay, attempt }: Located,
+  event: events.EventOf<'relayHeadArrived'>,
+): step.Step => {
+  const noted = noteUpstream(current, attempt.upstreamId, event.nowMs, countFailure);
+  const held = noted.requests.get(request.id) ?? request;
+  if (!request.isRepeatable || !canSendAgain(noted, request, relay, event.nowMs)) {
+    return step.makeStep(routerState.setRequest(noted, { ...held, relayedAttempt: attempt.id }), {
+      type: 'relayAnswer',
+      requestId: request.id,
+      attemptId: attempt.id,
+    });
+  }
+  const cancelled = slots.cancelAttempt(noted, request.id, attempt, event);
+  return step.chainStep(cancelled, (next) => {
+    const left = next.requests.get(request.id);
+    return left === undefined ? step.makeStep(next) : sendAgain(next, left, event);
+  });
+};
+
+/** Crashes are told to peers, so that a request which causes them is stopped everywhere. */
+const noteCrash = (
+  current: routerState.RouterState,
+  { request, attempt }: Located,
+  event: events.EventOf<'relayFailed'>,
+): step.Step => {
+  if (event.failure !== 'broken' || !event.hasCrashed) {
+    return step.makeStep(current);
+  }
+  const { fingerprint } = request.shape;
+  const crashes = [`${attempt.upstreamId}@${attempt.startedAtMs}`];
+  const noted = quarantine.addCrashes(current.quarantine, fingerprint, crashes, event.nowMs);
+  const known = noted.suspicions.get(fingerprint)?.crashes ?? crashes;
+  return step.makeStep(
+    { ...current, quarantine: noted },
+    { type: 'broadcastCrashEvidence', fingerprint, crashes: known },
+  );
+};
+
+const FAILURE_CODES: Readonly<Record<events.RelayFailure, shared.errorCodes.ErrorCode>> = {
+  unreachable: 'upstreamFailed',
+  broken: 'upstreamFailed',
+  silent: 'deadlineExceeded',
+  garbage: 'upstreamGarbage',
+  turnedAway: 'overloaded',
+  misdirected: 'overloaded',
+};
+
+const recoverRequest = (
+  current: routerState.RouterState,
+  requestId: string,
+  event: events.EventOf<'relayFailed'>,
+): step.Step => {
+  const request = current.requests.get(requestId);
+  const relay = request?.relay ?? null;
+  if (request === undefined || relay === null) {
+    return step.makeStep(current);
+  }
+  const mayRepeat = request.isRepeatable || relayRefusal.countPossibleRuns(request) === 0;
+  return mayRepeat && canSendAgain(current, request, relay, event.nowMs)
+    ? sendAgain(current, request, event)
+    : relayRefusal.endUnanswered(current, request, FAILURE_CODES[event.failure], event);
+};
+
+/** Decides what becomes of a request whose attempt failed. */
+export const recoverFailed = (
+  current: routerState.RouterState,
+  located: Located,
+  event: events.EventOf<'relayFailed'>,
+): step.Step => {
+  const { request, relay, attempt } = located;
+  const freed = slots.releaseAttempt(current, request.id, attempt, event.nowMs);
+  const noted = noteUpstream(
+    freed,
+    attempt.upstreamId,
+    event.nowMs,
+    UPSTREAM_NOTES[event.failure](event.nowMs),
+  );
+  const held = noted.requests.get(request.id) ?? request;
+  const progressed = routerState.setRequest(noted, {
+    ...held,
+    sentCount: held.sentCount - Number(event.isUnsent),
+    relay: {
+      ...relay,
+      notRunCount: relay.notRunCount + Number(event.isNotRun && !event.isUnsent),
+      lastEventId: event.lastEventId ?? relay.lastEventId,
+    },
+  });
+  const crashed = noteCrash(progressed, located, event);
+  const recovered = step.chainStep(crashed, (next) => recoverRequest(next, request.id, event));
+  return step.chainStep(recovered, (next) =>
+    dispatch.drainUpstream(next, attempt.upstreamId, event),
+  );
+};
--- /dev/null
+++ b/packages/core/src/relay/versionTrial.ts
@@ -0,0 +1,176 @@
+import * as immutable from 'immutable';
+import * as trialEvidence from './trialEvidence.js';
+
+/** An operator's order to move a service's traffic to a version. */
+export interface VersionOrder {
+  readonly service: string;
+  readonly to: string;
+  /** Time within which the roll-out should be done, in milliseconds. */
+  readonly periodMs: number;
+  /** Revision of the order in the store, which tells two orders for one version apart. */
+  readonly revision: number;
+}
+
+/** How far a roll-out has come. */
+export type TrialStage = 'running' | 'completed' | 'rolledBack';
+
+/** Roll-out of a version as this router sees it. */
+export interface VersionTrial {
+  readonly order: VersionOrder;
+  readonly stage: TrialStage;
+  /** Time at which the order was first seen by any router, in this router's milliseconds. */
+  readonly startedAtMs: number;
+  /** True once this router or a peer has judged the version bad. */
+  readonly isBad: boolean;
+  /** Evidence by source, epoch, kind and version. */
+  readonly rows: immutable.Map<string, SourcedRow>;
+  /** Requests still running on other versions, by router, with the time it was told. */
+  readonly oldRunning: immutable.Map<string, RunningReport>;
+  /** Time at which the last decision was handed to the store, in milliseconds. */
+  readonly settledAtMs: number;
+}
+
+/** A row with the router that counted it. */
+export interface SourcedRow {
+  readonly source: string;
+  readonly row: trialEvidence.EvidenceRow;
+}
+
+/** Requests a router still runs on versions that a roll-out replaces. */
+export interface RunningReport {
+  readonly count: number;
+  readonly atMs: number;
+}
+
+/** Share of sessions on the version while it is on trial. */
+const TRIAL_SHARE = 0.09;
+/** Part of the period after which the share grows, so that sessions keep their version before. */
+const RAMP_START = 0.52;
+/** Part of the period at which all sessions are on the version. */
+const RAMP_END = 0.74;
+/** Part of the period from which the roll-out ends even if old requests still run. */
+const LATEST_END = 0.92;
+/** Time for which old versions must have been idle before they may stop, in milliseconds. */
+const IDLE_REPORT_MS = 2_500;
+
+/** Makes the trial of an order. */
+export const makeTrial = (
+  order: VersionOrder,
+  stage: TrialStage,
+  startedAtMs: number,
+): VersionTrial => ({
+  order,
+  stage,
+  startedAtMs,
+  isBad: false,
+  rows: immutable.Map(),
+  oldRunning: immutable.Map(),
+  settledAtMs: -Infinity,
+});
+
+const computeProgress = (trial: VersionTrial, nowMs: number): number =>
+  (nowMs - trial.startedAtMs) / Math.max(1, trial.order.periodMs);
+
+/** Returns the share of sessions that go to the version, from 0 to 1. */
+export const getShare = (trial: VersionTrial, nowMs: number): number => {
+  if (trial.isBad || trial.stage === 'rolledBack') {
+    return 0;
+  }
+  if (trial.stage === 'completed') {
+    return 1;
+  }
+  const ramped = (computeProgress(trial, nowMs) - RAMP_START) / (RAMP_END - RAMP_START);
+  return Math.min(1, Math.max(TRIAL_SHARE, TRIAL_SHARE + (1 - TRIAL_SHARE) * ramped));
+};
+
+const makeRowKey = (source: string, row: trialEvidence.EvidenceRow): string =>
+  `${source}|${row.epoch}|${row.kind}|${row.isNew}`;
+
+/** Counts an answer of this router. */
+export const countAnswer = (
+  trial: VersionTrial,
+  source: string,
+  answer: { readonly kind: string; readonly isNew: boolean; readonly elapsedMs: number | null },
+  nowMs: number,
+): VersionTrial => {
+  const empty: trialEvidence.EvidenceRow = {
+    epoch: Math.max(0, Math.floor((nowMs - trial.startedAtMs) / trialEvidence.EPOCH_MS)),
+    kind: answer.kind,
+    isNew: answer.isNew,
+    answers: 0,
+    failures: 0,
+    logSum: 0,
+    logSquareSum: 0,
+    timed: 0,
+  };
+  const key = makeRowKey(source, empty);
+  const row = trialEvidence.addAnswer(trial.rows.get(key)?.row ?? empty, answer.elapsedMs);
+  return { ...trial, rows: trial.rows.set(key, { source, row }) };
+};
+
+/** Merges what a peer has counted; a later report of a row replaces an earlier one. */
+export const mergeReport = (
+  trial: VersionTrial,
+  source: string,
+  rows: readonly trialEvidence.EvidenceRow[],
+  oldRunning: number,
+  nowMs: number,
+): VersionTrial => ({
+  ...trial,
+  rows: rows.reduce((known, row) => {
+    const key = makeRowKey(source, row);
+    const held = known.get(key);
+    return held !== undefined && held.row.answers >= row.answers
+      ? known
+      : known.set(key, { source, row });
+  }, trial.rows),
+  oldRunning: trial.oldRunning.set(source, { count: oldRunning, atMs: nowMs }),
+});
+
+/** Lists a source's rows of the last epochs, which peers may not have yet. */
+export const listRecentRows = (
+  trial: VersionTrial,
+  source: string,
+  epochs: number,
+  nowMs: number,
+): readonly trialEvidence.EvidenceRow[] => {
+  const first = Math.floor((nowMs - trial.startedAtMs) / trialEvidence.EPOCH_MS) - epochs;
+  return trial.rows
+    .valueSeq()
+    .filter((held) => held.source === source && held.row.epoch >= first)
+    .map((held) => held.row)
+    .toArray();
+};
+
+/** Judges the version by all evidence. */
+export const judgeTrial = (trial: VersionTrial): VersionTrial => {
+  if (trial.isBad || trial.stage !== 'running') {
+    return trial;
+  }
+  const rows = trial.rows.valueSeq().map((held) => held.row);
+  return rows.some((row) => row.isNew) && trialEvidence.isBadVersion(rows.toArray())
+    ? { ...trial, isBad: true }
+    : trial;
+};
+
+const isOldIdle = (trial: VersionTrial, ownRunning: number, nowMs: number): boolean =>
+  ownRunning === 0 &&
+  trial.oldRunning.every((report) => report.count === 0 || nowMs - report.atMs > IDLE_REPORT_MS);
+
+/** Decides how a running trial should end now, or null while it goes on. */
+export const decideEnd = (
+  trial: VersionTrial,
+  ownRunning: number,
+  nowMs: number,
+): 'completed' | 'rolledBack' | null => {
+  if (trial.stage !== 'running') {
+    return null;
+  }
+  if (trial.isBad) {
+    return 'rolledBack';
+  }
+  const progress = computeProgress(trial, nowMs);
+  const isDone =
+    progress >= LATEST_END || (progress > RAMP_END && isOldIdle(trial, ownRunning, nowMs));
+  return isDone ? 'completed' : null;
+};
--- a/packages/core/src/requestState.ts
+++ b/packages/core/src/requestState.ts
@@ -1,3 +1,4 @@
+import type * as relayState from './relay/relayState.js';
 import type * as versionId from './versionId.js';
 
 /** What a request shows about itself when it arrives. */
@@ -31,6 +32,8 @@
   readonly isHedge: boolean;
   /** True once the attempt has passed its hedge delay without a token. */
   readonly isOverdue: boolean;
+  /** Prompt tokens the upstream is expected to read before its answer begins. */
+  readonly prefillTokens: number;
 }
 
 /** Stage of a request in flight. */
@@ -74,6 +77,8 @@
   readonly isBilled: boolean;
   /** Length of the whole answer once it has ended, in tokens. */
   readonly tokensOut: number;
+  /** What only a routed request carries, or null. */
+  readonly relay: relayState.RelayState | null;
 }
 
 /** Prompt tokens that take an engine as long as one generated token. */
--- a/packages/core/src/reroute.ts
+++ b/packages/core/src/reroute.ts
@@ -13,6 +13,10 @@
   current: routerState.RouterState,
   request: requestState.RequestState,
 ): boolean => {
+  // A routed request was checked against the table in force when it arrived.
+  if (request.relay !== null) {
+    return true;
+  }
   const plan = current.config?.plans.get(
     current.config.customers.get(request.customer)?.plan ?? '',
   );
--- a/packages/core/src/routerState.ts
+++ b/packages/core/src/routerState.ts
@@ -12,6 +12,7 @@
 import * as policy from './policy.js';
 import * as quarantine from './quarantine.js';
 import * as ratings from './ratings.js';
+import * as relayContext from './relay/relayContext.js';
 import type * as requestState from './requestState.js';
 import type * as rollout from './rolloutState.js';
 import type * as upstreamState from './upstreamState.js';
@@ -59,6 +60,7 @@
   readonly ledger: ledgerBook.LedgerBook;
   readonly demand: demand.DemandState;
   readonly orders: orders.OrdersState;
+  readonly relay: relayContext.RelayContext;
   readonly isStopping: boolean;
 }
 
@@ -66,6 +68,7 @@
 export const makeState = (
   self: Self,
   chosen: policy.Policy = policy.DEFAULT_POLICY,
+  relay: relayContext.RelaySettings = relayContext.DEFAULT_SETTINGS,
 ): RouterState => ({
   self,
   policy: chosen,
@@ -93,6 +96,7 @@
   ledger: ledgerBook.makeBook(self.ledgerCapacity),
   demand: demand.EMPTY_DEMAND,
   orders: orders.EMPTY_ORDERS,
+  relay: relayContext.makeContext(relay),
   isStopping: false,
 });
 
--- a/packages/core/src/routing.ts
+++ b/packages/core/src/routing.ts
@@ -75,6 +75,7 @@
     escalationCount: 0,
     tokensOut: 0,
     isBilled: true,
+    relay: null,
     ...fields,
   };
 };
--- a/packages/core/src/slots.ts
+++ b/packages/core/src/slots.ts
@@ -19,6 +19,7 @@
   const freed = routerState.updateUpstream(current, held.upstreamId, (known) => ({
     ...known,
     inFlight: known.inFlight - 1,
+    prefillTokens: Math.max(0, known.prefillTokens - held.prefillTokens),
     longInFlight: known.longInFlight - Number(request.isLong),
     suspectInFlight: known.suspectInFlight - Number(request.isSuspect),
     overdue: known.overdue - Number(held.isOverdue),
--- a/packages/core/src/timers.ts
+++ b/packages/core/src/timers.ts
@@ -4,6 +4,8 @@
 import * as health from './health.js';
 import * as refusal from './refusal.js';
 import type * as requestState from './requestState.js';
+import * as relayExpiry from './relay/relayExpiry.js';
+import * as relayRefusal from './relay/relayRefusal.js';
 import * as reroute from './reroute.js';
 import * as routerState from './routerState.js';
 import * as slots from './slots.js';
@@ -51,7 +53,17 @@
   return dispatch.startAttempt(paid, overdue, other, true, stamp);
 };
 
-const expireQueued: TimerHandler = (current, request, _, stamp) =>
+const expireRelay: TimerHandler = (current, request, _, stamp) =>
+  request.phase === 'queued' && stamp.nowMs >= (request.relay?.queueUntilMs ?? 0)
+    ? relayRefusal.endUnanswered(
+        dispatch.leaveQueue(current, request, stamp.nowMs),
+        request,
+        'deadlineExceeded',
+        stamp,
+      )
+    : step.makeStep(current);
+
+const expireCall: TimerHandler = (current, request, _, stamp) =>
   request.phase === 'queued' && stamp.nowMs >= request.deadlineAtMs
     ? refusal.refuseRequest(
         dispatch.leaveQueue(current, request, stamp.nowMs),
@@ -61,6 +73,11 @@
       )
     : step.makeStep(current);
 
+const expireQueued: TimerHandler = (current, request, timer, stamp) =>
+  request.relay === null
+    ? expireCall(current, request, timer, stamp)
+    : expireRelay(current, request, timer, stamp);
+
 const retryRequest: TimerHandler = (current, request, _, stamp) =>
   request.phase === 'backingOff'
     ? reroute.retryRequest(current, request, stamp)
@@ -69,6 +86,8 @@
 const TIMER_HANDLERS: Readonly<Record<events.Timer['kind'], TimerHandler>> = {
   hedge: hedgeRequest,
   queueDeadline: expireQueued,
+  relayTimeout: (current, request, _, stamp) =>
+    relayExpiry.expireRequest(current, request.id, stamp),
   retry: retryRequest,
 };
 
--- a/packages/core/src/upstreamState.ts
+++ b/packages/core/src/upstreamState.ts
@@ -13,11 +13,15 @@
   /** Work of other routers, from the last report. */
   readonly foreignLoad: number;
   readonly reportedAtMs: number;
+  /** How long work takes on its machine, relative to the usual time, from the last report. */
+  readonly machineSlowness: number;
   /** Own attempts under way. */
   readonly inFlight: number;
   /** Largest number of own attempts since the last report, and between the two before it. */
   readonly recentPeak: number;
   readonly previousPeak: number;
+  /** Prompt tokens that own attempts wait to have read. */
+  readonly prefillTokens: number;
   readonly longInFlight: number;
   readonly suspectInFlight: number;
   /** Own attempts that passed their hedge delay without a token. */
@@ -63,9 +67,11 @@
   loaded: [],
   foreignLoad: 0,
   reportedAtMs: 0,
+  machineSlowness: 1,
   inFlight: 0,
   recentPeak: 0,
   previousPeak: 0,
+  prefillTokens: 0,
   longInFlight: 0,
   suspectInFlight: 0,
   overdue: 0,
@@ -122,6 +128,7 @@
   recentPeak: upstream.inFlight,
   previousPeak: upstream.recentPeak,
   reportedAtMs: nowMs,
+  machineSlowness: report.machineSlowness ?? 1,
 });
 
 /**
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,3 +1,4 @@
 export * as replySink from './callers/replySink.js';
+export type * as openPlatform from './openPlatform.js';
 export * as serviceLevels from './serviceLevels.js';
 export * as startRouter from './startRouter.js';
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -3,6 +3,7 @@
 import * as cac from 'cac';
 import * as shared from '@jayrock/shared';
 import * as embeddedLists from './embeddedLists.js';
+import * as startRelay from './relay/startRelay.js';
 import * as startRouter from './startRouter.js';
 
 const EXIT_INVALID = 2;
@@ -27,13 +28,17 @@
 };
 
 const serve = async (settings: shared.settings.Settings, baseDir: string): Promise<void> => {
-  const started = await startRouter.startRouter(settings, baseDir);
+  const started =
+    settings.platform.kind === 'managed'
+      ? shared.outcome.makeOk(await startRelay.startRelay(settings, settings.platform))
+      : await startRouter.startRouter(settings, settings.platform, baseDir);
   if (!started.ok) {
     failWith(started.error);
     return;
   }
+  const running = started.value;
   const stop = (): void => {
-    started.value.stop().then(
+    running.stop().then(
       () => process.exit(0),
       () => process.exit(1),
     );
--- a/packages/router/src/openPlatform.ts
+++ b/packages/router/src/openPlatform.ts
@@ -41,6 +41,9 @@
   });
 };
 
+/** Platforms whose services this product calls by its own protocols. */
+export type OwnPlatform = Exclude<shared.settings.PlatformSettings, { kind: 'managed' }>;
+
 type Service = Extract<shared.settings.PlatformSettings, { kind: 'service' }>;
 
 const openService = async (settings: Service, localAddress: string): Promise<Opened> => {
@@ -58,7 +61,7 @@
 
 /** Opens the platform that the settings name; relative files are found from `baseDir`. */
 export const openPlatform = (
-  settings: shared.settings.PlatformSettings,
+  settings: OwnPlatform,
   baseDir: string,
   localAddress: string,
 ): Promise<Opened> =>
--- a/packages/router/src/peers/messages.ts
+++ b/packages/router/src/peers/messages.ts
@@ -52,6 +52,17 @@
     };
     readonly result: null;
   };
+  readonly pushTrial: {
+    readonly params: {
+      readonly source: string;
+      readonly service: string;
+      readonly revision: number;
+      readonly isBad: boolean;
+      readonly rows: readonly core.trialEvidence.EvidenceRow[];
+      readonly oldRunning: number;
+    };
+    readonly result: null;
+  };
   readonly pushLoads: {
     readonly params: {
       readonly reports: readonly {
--- a/packages/router/src/peers/peerHandlers.ts
+++ b/packages/router/src/peers/peerHandlers.ts
@@ -8,11 +8,15 @@
 import type * as peerService from './peerService.js';
 import type * as rpcClient from './rpcClient.js';
 
-/** What the answers to peers' calls work with. */
-export interface PeerContext {
+/** What the answers to peers' calls about members and upstreams work with. */
+export interface MemberContext {
   readonly node: runtime.Runtime;
   readonly client: rpcClient.RpcClient;
   readonly peers: peerService.PeerService;
+}
+
+/** What the answers to all of peers' calls work with. */
+export interface PeerContext extends MemberContext {
   readonly claims: claimService.ClaimService;
   readonly ledger: ledgerService.LedgerService;
   readonly sessions: namedSessions.NamedSessions;
@@ -21,7 +25,7 @@
 const PROBE_TIMEOUT_MS = 400;
 
 const serveProbe = (
-  context: PeerContext,
+  context: MemberContext,
   params: messages.PeerParams<'probe'>,
 ): messages.PeerResult<'probe'> => {
   const { node } = context;
@@ -36,7 +40,7 @@
 };
 
 const probeFor = async (
-  context: PeerContext,
+  context: MemberContext,
   params: messages.PeerParams<'probeFor'>,
 ): Promise<messages.PeerResult<'probeFor'>> => {
   const greeting = core.membership.makeGreeting(context.node.getState(), [], Date.now());
@@ -53,7 +57,7 @@
   return { packed: isNewer ? configPacking.encodeConfig(config.source) : null };
 };
 
-const serveAlert = (context: PeerContext, params: messages.PeerParams<'alert'>): null => {
+const serveAlert = (context: MemberContext, params: messages.PeerParams<'alert'>): null => {
   params.alarms.forEach((versionId) => context.node.dispatch({ type: 'alarmReceived', versionId }));
   params.evidence.forEach((item) =>
     context.node.dispatch({ type: 'crashEvidenceReceived', ...item }),
@@ -61,10 +65,28 @@
   return null;
 };
 
-/** Makes the answers to all calls of peers. */
-export const makePeerHandlers = (context: PeerContext): messages.PeerHandlers => ({
+type MemberMethod = 'probe' | 'probeFor' | 'alert' | 'pushLoads' | 'pushTrial';
+
+/** Makes the answers to peers' calls about members and upstreams. */
+export const makeMemberHandlers = (
+  context: MemberContext,
+): Pick<messages.PeerHandlers, MemberMethod> => ({
   probe: (params) => serveProbe(context, params),
   probeFor: (params) => probeFor(context, params),
+  alert: (params) => serveAlert(context, params),
+  pushLoads: (params) => {
+    params.reports.forEach((item) => context.node.dispatch({ type: 'loadReported', ...item }));
+    return null;
+  },
+  pushTrial: (params) => {
+    context.node.dispatch({ type: 'trialTold', ...params });
+    return null;
+  },
+});
+
+/** Makes the answers to all calls of peers. */
+export const makePeerHandlers = (context: PeerContext): messages.PeerHandlers => ({
+  ...makeMemberHandlers(context),
   getConfig: (params) => serveConfig(context, params),
   announceConfig: (params) => {
     if (params.generation > (context.node.getState().config?.generation ?? 0)) {
@@ -72,15 +94,10 @@
     }
     return null;
   },
-  alert: (params) => serveAlert(context, params),
   pushRatings: (params) => {
     context.node.dispatch({ type: 'peerCountersReceived', ...params });
     return null;
   },
-  pushLoads: (params) => {
-    params.reports.forEach((item) => context.node.dispatch({ type: 'loadReported', ...item }));
-    return null;
-  },
   pushDemand: (params) => {
     context.node.dispatch({ type: 'demandTold', ...params });
     return null;
--- a/packages/router/src/peers/rpcServer.ts
+++ b/packages/router/src/peers/rpcServer.ts
@@ -9,7 +9,7 @@
 /** Makes the listener that other routers call; calls without a valid signature are turned away. */
 export const makeRpcServer = (
   secret: string,
-  handlers: messages.PeerHandlers,
+  handlers: Partial<messages.PeerHandlers>,
 ): fastify.FastifyInstance => {
   const rpc = new jsonRpc.JSONRPCServer({ errorListener: () => undefined });
   Object.entries(handlers).forEach(([method, handler]) => {
--- /dev/null
+++ b/packages/router/src/relay/prefixFeed.ts
@@ -0,0 +1,118 @@
+import * as shared from '@jayrock/shared';
+import type * as stores from '@jayrock/stores';
+import type * as pino from 'pino';
+import type * as viewClock from './viewClock.js';
+
+/** What a feed tells of the keys under a prefix. */
+export interface PrefixListener {
+  /** All keys, at the start and whenever changes may have been missed. */
+  readonly handleSnapshot: (entries: readonly stores.keyValueStore.KeyValueEntry[]) => void;
+  readonly handleChange: (change: stores.prefixStore.PrefixChange) => void;
+}
+
+/** A feed of the keys under a prefix. */
+export interface PrefixFeed {
+  /** Resolves once the prefix was read for the first time. */
+  readonly first: Promise<void>;
+  /** Time since the store last failed to answer, in milliseconds; infinite if it never did. */
+  readonly getCalmMs: () => number;
+  readonly stop: () => void;
+}
+
+/** How a feed follows its prefix. */
+export interface PrefixOptions {
+  readonly prefix: string;
+  /** Time after which a wait without changes confirms what is known, in milliseconds. */
+  readonly waitMs: number;
+  /** Records confirmations, where their age matters. */
+  readonly clock: viewClock.ViewClock | null;
+}
+
+/** Shortest and longest pause after a failed call, in milliseconds. */
+const MIN_PAUSE_MS = 100;
+const MAX_PAUSE_MS = 800;
+
+/** Follows a prefix of the store: reads it, waits for changes, and reads it anew after a gap. */
+export const startPrefixFeed = (
+  store: stores.prefixStore.PrefixStore,
+  options: PrefixOptions,
+  listener: PrefixListener,
+  log: pino.Logger,
+): PrefixFeed => {
+  const { prefix, waitMs, clock } = options;
+  let isStopped = false;
+  let failures = 0;
+  let failedAtMs = -Infinity;
+  let revision: number | null = null;
+  let settleFirst: () => void = () => undefined;
+  const first = new Promise<void>((resolve) => {
+    settleFirst = resolve;
+  });
+  const noteSuccess = (): void => {
+    if (failures > 0) {
+      log.info({ prefix, failures }, 'store answers again');
+    }
+    failures = 0;
+  };
+  const noteFailure = async (error: string): Promise<void> => {
+    failures += 1;
+    failedAtMs = performance.now();
+    if (failures === 1) {
+      log.warn({ prefix, error }, 'store does not answer');
+    }
+    const pauseMs = Math.min(MAX_PAUSE_MS, MIN_PAUSE_MS * 2 ** (failures - 1));
+    await shared.delay.wait(pauseMs * (0.5 + Math.random()));
+  };
+  const readAll = async (): Promise<void> => {
+    const reading = clock?.take();
+    const snapshot = await store.readPrefix(prefix);
+    if (isStopped) {
+      return;
+    }
+    if (!snapshot.ok) {
+      await noteFailure(snapshot.error);
+      return;
+    }
+    noteSuccess();
+    ({ revision } = snapshot.value);
+    listener.handleSnapshot(snapshot.value.entries);
+    if (reading !== undefined) {
+      clock?.confirm(reading);
+    }
+    settleFirst();
+  };
+  const waitOnce = async (after: number): Promise<void> => {
+    const reading = clock?.take();
+    const waited = await store.waitChanges(prefix, after, waitMs);
+    if (isStopped) {
+      return;
+    }
+    if (waited.ok) {
+      noteSuccess();
+      ({ revision } = waited.value);
+      waited.value.changes.forEach(listener.handleChange);
+      if (reading !== undefined) {
+        clock?.confirm(reading);
+      }
+    } else if (waited.error === 'compacted') {
+      log.info({ prefix, after }, 'history is gone, reading anew');
+      revision = null;
+    } else {
+      await noteFailure(waited.error);
+    }
+  };
+  const run = async (): Promise<void> => {
+    while (!isStopped) {
+      // eslint-disable-next-line no-await-in-loop -- each call follows the one before
+      await (revision === null ? readAll() : waitOnce(revision));
+    }
+  };
+  run().catch((error: unknown) => log.error({ error, prefix }, 'feed ended'));
+  return {
+    first,
+    getCalmMs: () => performance.now() - failedAtMs,
+    stop: () => {
+      isStopped = true;
+    },
+  };
+};
--- a/packages/router/src/runtime.ts
+++ b/packages/router/src/runtime.ts
@@ -5,18 +5,22 @@
   effect: core.effects.EffectOf<T>,
 ) => void;
 
-/** Runners of all effects, by type. */
-export type EffectRunners = { readonly [T in core.effects.EffectType]: EffectRunner<T> };
+/** Runners of effects, by type; effects of subsystems that are not started have none. */
+export type EffectRunners = { readonly [T in core.effects.EffectType]?: EffectRunner<T> };
 
 /** The reducer's state with a queue of events that are applied one after the other. */
 export interface Runtime {
   readonly getState: () => core.routerState.RouterState;
+  /** Time on the clock that stamps events, in Unix milliseconds; steps of the wall clock do not move it. */
+  readonly getNowMs: () => number;
   /** Applies an event and runs its effects; events raised by effects follow in order. */
   readonly dispatch: (event: core.events.EventBody) => void;
   /** Sets the runners; called once, before the first event. */
   readonly connect: (runners: EffectRunners) => void;
 }
 
+const readNowMs = (): number => performance.timeOrigin + performance.now();
+
 /** Makes a runtime around an initial state. */
 export const makeRuntime = (initial: core.routerState.RouterState): Runtime => {
   let state = initial;
@@ -28,7 +32,7 @@
     runner?.(effect);
   };
   const apply = (event: core.events.EventBody): void => {
-    const stamped = { ...event, nowMs: Date.now(), random: Math.random() } as core.events.Event;
+    const stamped = { ...event, nowMs: readNowMs(), random: Math.random() } as core.events.Event;
     const step = core.reduce.reduce(state, stamped);
     state = step.state;
     step.effects.forEach(runEffect);
@@ -45,6 +49,7 @@
   };
   return {
     getState: () => state,
+    getNowMs: readNowMs,
     dispatch: (event) => {
       queue.push(event);
       if (!isRunning) {
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -132,10 +132,11 @@
 /** Starts a router. Fails with the problems of its files when they are not valid. */
 export const startRouter = async (
   settings: shared.settings.Settings,
+  ownPlatform: openPlatform.OwnPlatform,
   baseDir: string,
 ): Promise<shared.outcome.Outcome<RunningRouter, readonly shared.jsonc.FileProblem[]>> => {
   const result = await openPlatform.openPlatform(
-    settings.platform,
+    ownPlatform,
     baseDir,
     getLocalAddress(settings),
   );
--- a/packages/shared/src/errorCodes.ts
+++ b/packages/shared/src/errorCodes.ts
@@ -88,6 +88,12 @@
     notRun: true,
     message: 'this request was present at several upstream crashes and is not run again',
   },
+  noRoute: { status: 404, notRun: true, message: 'no route matches the host and path' },
+  viewOutdated: {
+    status: 503,
+    notRun: true,
+    message: 'the list of keys was not confirmed recently enough to accept a key',
+  },
   routerStopping: { status: 503, notRun: true, message: 'this router is stopping' },
   unauthorized: { status: 401, notRun: true, message: 'the key is missing or unknown' },
   serviceNotAllowed: { status: 403, notRun: true, message: 'the plan does not allow this service' },
--- a/packages/shared/src/hosts.ts
+++ b/packages/shared/src/hosts.ts
@@ -7,6 +7,12 @@
   /** Service the host serves, or `jayrock` for an entry host. */
   readonly service: string;
   readonly state: 'live' | 'leaving';
+  /** Version of the host's software, where the host list names one. */
+  readonly version?: string;
+  /** Requests the host serves at once, where the host list names them. */
+  readonly slots?: number;
+  /** Start of the host's process, in Unix milliseconds; a new one means that it holds nothing. */
+  readonly bornAtMs?: number;
 }
 
 /** Load that an engine reports about itself. */
@@ -19,6 +25,8 @@
   readonly slots: number;
   /** Versions loaded, as `model@version`. */
   readonly loaded: readonly string[];
+  /** How long work takes on the host's machine now, relative to the usual time; 1 if not told. */
+  readonly machineSlowness?: number;
 }
 
 /** Service name of entry hosts in the host list. */
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -9,4 +9,5 @@
 export * as rendezvous from './rendezvous.js';
 export * as requestId from './requestId.js';
 export * as settings from './settings.js';
+export * as routeTable from './routeTable.js';
 export * as serviceLevel from './serviceLevel.js';
--- a/packages/shared/src/settings.ts
+++ b/packages/shared/src/settings.ts
@@ -8,6 +8,23 @@
   .strictObject({ id: zod.string().min(1), address, zone: zod.string(), service: zod.string() })
   .readonly();
 
+const bounds = zod
+  .strictObject({
+    /** Time after which a withdrawn key must not be accepted anywhere, in milliseconds. */
+    revocationMs: zod.number().positive().default(5_000),
+    /** Time in which a configuration must be in force, in milliseconds. */
+    configurationMs: zod.number().positive().default(2_000),
+    /** Time between the signal to stop and the end of the process, in milliseconds. */
+    graceMs: zod.number().positive().default(8_000),
+    /** Further sends that all routers together may make for each request to a service. */
+    repeatShare: zod.number().min(0).default(0.2),
+    /** Further sends allowed on top in each window. */
+    repeatSlack: zod.number().min(0).default(20),
+    /** Window in which further sends are counted, in milliseconds. */
+    repeatWindowMs: zod.number().positive().default(10_000),
+  })
+  .readonly();
+
 const platform = zod
   .discriminatedUnion('kind', [
     zod
@@ -29,6 +46,18 @@
         ratingAddress: address.optional(),
       })
       .readonly(),
+    zod
+      .strictObject({
+        kind: zod.literal('managed'),
+        /** Name of this router in logs. */
+        name: zod.string().min(1),
+        /** Store that holds the configuration and lists the upstreams. */
+        storeAddress: address,
+        /** Listener that tells the balancer whether new connections are welcome. */
+        readyAddress: address,
+        bounds: bounds.prefault({}),
+      })
+      .readonly(),
   ])
   .readonly();
 
