--- a/packages/router/src/relay/prefixFeed.ts
+++ b/packages/router/src/relay/prefixFeed.ts
@@ -16,6 +16,8 @@
   readonly first: Promise<void>;
   /** Time since the store last failed to answer, in milliseconds; infinite if it never did. */
   readonly getCalmMs: () => number;
+  /** Reads the prefix now; calls made meanwhile share one read. False if the store did not answer. */
+  readonly refresh: () => Promise<boolean>;
   readonly stop: () => void;
 }
 
@@ -63,23 +65,42 @@
     const pauseMs = Math.min(MAX_PAUSE_MS, MIN_PAUSE_MS * 2 ** (failures - 1));
     await shared.delay.wait(pauseMs * (0.5 + Math.random()));
   };
-  const readAll = async (): Promise<void> => {
+  const readOnce = async (): Promise<stores.keyValueStore.KeyValueError | null> => {
     const reading = clock?.take();
     const snapshot = await store.readPrefix(prefix);
     if (isStopped) {
-      return;
+      return null;
     }
     if (!snapshot.ok) {
-      await noteFailure(snapshot.error);
-      return;
+      return snapshot.error;
     }
-    noteSuccess();
-    ({ revision } = snapshot.value);
+    revision = Math.max(revision ?? 0, snapshot.value.revision);
     listener.handleSnapshot(snapshot.value.entries);
     if (reading !== undefined) {
       clock?.confirm(reading);
     }
     settleFirst();
+    return null;
+  };
+  const readAll = async (): Promise<void> => {
+    const error = await readOnce();
+    if (error === null) {
+      noteSuccess();
+    } else {
+      await noteFailure(error);
+    }
+  };
+  let refreshing: Promise<boolean> | null = null;
+  const refresh = (): Promise<boolean> => {
+    if (failures > 0) {
+      return Promise.resolve(false);
+    }
+    refreshing ??= readOnce()
+      .then((error) => error === null)
+      .finally(() => {
+        refreshing = null;
+      });
+    return refreshing;
   };
   const waitOnce = async (after: number): Promise<void> => {
     const reading = clock?.take();
@@ -89,7 +110,7 @@
     }
     if (waited.ok) {
       noteSuccess();
-      ({ revision } = waited.value);
+      revision = Math.max(revision ?? 0, waited.value.revision);
       waited.value.changes.forEach(listener.handleChange);
       if (reading !== undefined) {
         clock?.confirm(reading);
@@ -111,6 +132,7 @@
   return {
     first,
     getCalmMs: () => performance.now() - failedAtMs,
+    refresh,
     stop: () => {
       isStopped = true;
     },
--- a/packages/router/src/relay/relayServer.ts
+++ b/packages/router/src/relay/relayServer.ts
@@ -12,6 +12,11 @@
   readonly pending: Map<string, relayPending.RelayPending>;
   readonly clock: viewClock.ViewClock;
   readonly limits: RelayLimits;
+  /** Age of the table's confirmation from which a new one is asked for, in milliseconds. */
+  readonly maxViewAgeMs: number;
+  /** Asks for a confirmation now. */
+  readonly refreshView: () => Promise<boolean>;
+  readonly isLeaving: () => boolean;
 }
 
 /** Bounds on callers until the first table of routes names its own. */
@@ -27,6 +32,8 @@
 /** Idle time before the first table names one, in milliseconds. */
 const DEFAULT_IDLE_MS = 15_000;
 const CONNECTION_CHECK_MS = 1_000;
+/** Longest time a request waits for a confirmation of the table, in milliseconds. */
+const REFRESH_WAIT_MS = 60;
 const BAD_REQUEST_STATUS = 400;
 const TOO_LARGE_STATUS = 413;
 
@@ -127,6 +134,16 @@
     upstreamId: '',
     route: '',
   };
+  if (context.isLeaving()) {
+    response.shouldKeepAlive = false;
+  }
+  // After a suspension or a step of the clock one read of the store tells what holds.
+  if (context.clock.getAgeMs() > context.maxViewAgeMs) {
+    await Promise.race([context.refreshView(), shared.delay.wait(REFRESH_WAIT_MS)]);
+  }
+  if (response.destroyed) {
+    return;
+  }
   context.pending.set(pending.id, pending);
   response.once('close', () => {
     if (context.pending.has(pending.id)) {
--- a/packages/router/src/relay/startRelay.ts
+++ b/packages/router/src/relay/startRelay.ts
@@ -121,6 +121,7 @@
     peerHandlers.makeMemberHandlers({ node, client, peers }),
   );
   let isLeaving = false;
+  let operator: prefixFeed.PrefixFeed | null = null;
   const maxReadyAgeMs = managed.bounds.revocationMs * READY_AGE_SHARE;
   const isReady = (): boolean =>
     !isLeaving &&
@@ -132,6 +133,9 @@
     node,
     pending,
     clock,
+    maxViewAgeMs: managed.bounds.revocationMs * KEY_AGE_SHARE,
+    refreshView: () => operator?.refresh() ?? Promise.resolve(false),
+    isLeaving: () => isLeaving,
     limits: {
       maxBodyBytes: settings.limits.maxBodyBytes,
       headersTimeoutMs: settings.limits.headersTimeoutMs,
@@ -174,7 +178,7 @@
   ]);
   // The records of roll-outs tell how far the orders have come, so they are read first.
   await own.first;
-  const operator = prefixFeed.startPrefixFeed(
+  operator = prefixFeed.startPrefixFeed(
     store,
     { prefix: platform.wire.KEYS.operator, waitMs: CONFIG_WAIT_MS, clock },
     {
@@ -193,6 +197,9 @@
     const startedAtMs = performance.now();
     log.info({ running: pending.size }, 'router stopping');
     isLeaving = true;
+    pending.forEach(({ response }) => {
+      response.shouldKeepAlive = false;
+    });
     const graceMs = managed.bounds.graceMs * GRACE_SHARE;
     const isOver = (): boolean => performance.now() - startedAtMs > graceMs;
     listing.leave().catch((error: unknown) => log.warn({ error }, 'router not taken off the list'));
@@ -203,7 +210,7 @@
       await shared.delay.wait(STOP_POLL_MS);
     }
     log.info({ cut: pending.size }, 'router stopped');
-    [hosts, own, operator].forEach((feed) => feed.stop());
+    [hosts, own, operator].forEach((feed) => feed?.stop());
     clearInterval(ticks);
     stopReports();
     peers.stop();
--- a/packages/router/src/relay/viewClock.ts
+++ b/packages/router/src/relay/viewClock.ts
@@ -1,5 +1,3 @@
-import * as os from 'node:os';
-
 /** Tells how long ago something was confirmed, also across a suspension of the machine. */
 export interface ViewClock {
   /** Reads both clocks; to be called before the question whose answer confirms. */
@@ -10,22 +8,22 @@
   readonly getAgeMs: () => number;
 }
 
-/** One moment on the steady clock and on the one that counts suspension, in milliseconds. */
+/** One moment on the steady clock and on the time of day, in milliseconds. */
 export interface ClockReading {
   readonly steadyMs: number;
-  readonly bootMs: number;
+  readonly wallMs: number;
 }
 
-const MS_PER_SECOND = 1_000;
-/** The clock that counts suspension may be read in whole seconds. */
-const BOOT_RESOLUTION_MS = 1_000;
+/** Difference between the clocks from which the machine may have been suspended, in milliseconds. */
+const SUSPICIOUS_GAP_MS = 500;
 
-const readClocks = (): ClockReading => ({
-  steadyMs: performance.now(),
-  bootMs: os.uptime() * MS_PER_SECOND,
-});
+const readClocks = (): ClockReading => ({ steadyMs: performance.now(), wallMs: Date.now() });
 
-/** Makes a clock for what is confirmed from time to time. */
+/**
+ * Makes a clock for what is confirmed from time to time. The steady clock stands still while the
+ * machine is suspended and the time of day does not, so the greater age counts when they disagree;
+ * Node.js offers no clock that counts suspension and cannot be set.
+ */
 export const makeViewClock = (read: () => ClockReading = readClocks): ViewClock => {
   let last: ClockReading | null = null;
   return {
@@ -41,8 +39,8 @@
       }
       const now = read();
       const steadyMs = now.steadyMs - last.steadyMs;
-      const bootMs = now.bootMs - last.bootMs;
-      return bootMs > steadyMs + BOOT_RESOLUTION_MS ? bootMs : steadyMs;
+      const wallMs = now.wallMs - last.wallMs;
+      return wallMs > steadyMs + SUSPICIOUS_GAP_MS ? wallMs : steadyMs;
     },
   };
 };
