--- a/eslint.config.js
+++ b/eslint.config.js
@@ -14,7 +14,7 @@
 const files = ['**/*.ts'];
 
 export default [
-  { ignores: ['**/dist/**', 'node_modules/**', 'out/**'] },
+  { ignores: ['**/dist/**', 'target/**', 'node_modules/**', 'out/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -33,6 +33,7 @@
             'packages/shared',
             'packages/core',
             'packages/stores',
+            'platform',
             'packages/router',
             'packages/cli',
             'packages-private/stand-ins',
@@ -49,7 +50,15 @@
         'error',
         {
           props: true,
-          ignorePropertyModificationsFor: ['pending', 'item', 'next', 'series', 'host', 'standIn'],
+          ignorePropertyModificationsFor: [
+            'pending',
+            'response',
+            'item',
+            'next',
+            'series',
+            'host',
+            'standIn',
+          ],
         },
       ],
       'no-restricted-syntax': [
--- a/packages-private/measure/__tests__/socketSite.ts
+++ b/packages-private/measure/__tests__/socketSite.ts
@@ -109,7 +109,11 @@
     ...engines.map(({ id, address }) => ({ id, address, service: 'pool' })),
     { id: plain.id, address: plain.address, service: 'orders' },
   ]);
-  const started = await router.startRouter.startRouter(settings, settings.platform as router.openPlatform.OwnPlatform, dir);
+  const started = await router.startRouter.startRouter(
+    settings,
+    settings.platform as router.openPlatform.OwnPlatform,
+    dir,
+  );
   if (!started.ok) {
     throw new Error(started.error.map(shared.jsonc.formatProblem).join('\n'));
   }
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -19,7 +19,8 @@
   services: ReadonlyMap<string, shared.lists.Service>,
   routed: ReadonlyMap<string, shared.routeTable.RoutedService> | undefined,
 ): readonly versionId.VersionId[] =>
-  services.get(upstream.host.service)?.kind === 'plain' || routed?.has(upstream.host.service) === true
+  services.get(upstream.host.service)?.kind === 'plain' ||
+  routed?.has(upstream.host.service) === true
     ? [upstream.host.service]
     : upstream.loaded;
 
--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -74,7 +74,9 @@
 
 const makeRelayQuery = (query: PlacementQuery): relayPlacement.RelayQuery | null => {
   const relay = query.routed?.relay ?? null;
-  return query.routed === null || relay === null ? null : { ...query, request: query.routed, relay };
+  return query.routed === null || relay === null
+    ? null
+    : { ...query, request: query.routed, relay };
 };
 
 /** Tells whether an upstream may take a request now. */
--- a/packages/core/src/relay/relayAnswers.ts
+++ b/packages/core/src/relay/relayAnswers.ts
@@ -67,12 +67,7 @@
   const unitMs = (nowMs - attempt.startedAtMs) / units;
   const typicalMs = relayContext.getHeadTime(current.relay, request.service, relay.model);
   const slowness = typicalMs === null ? 1 : unitMs / Math.max(1, typicalMs);
-  const context = relayContext.recordHeadTime(
-    current.relay,
-    request.service,
-    relay.model,
-    unitMs,
-  );
+  const context = relayContext.recordHeadTime(current.relay, request.service, relay.model, unitMs);
   const parts = prefixMemory.recordParts(
     context.parts,
     attempt.upstreamId,
@@ -107,10 +102,7 @@
     },
   );
 
-const relayHead = (
-  current: routerState.RouterState,
-  located: Located,
-): step.Step => {
+const relayHead = (current: routerState.RouterState, located: Located): step.Step => {
   const version = current.upstreams.get(located.attempt.upstreamId)?.host.version ?? null;
   const request = current.requests.get(located.request.id) ?? located.request;
   return step.makeStep(
@@ -145,8 +137,7 @@
     view === null || !isFirstPiece
       ? null
       : modelChoice.pickBetterModel(view, request.service, relay, event.head.confidence);
-  const replaced =
-    better === null ? null : relayRetry.replaceModel(timed, located, better, event);
+  const replaced = better === null ? null : relayRetry.replaceModel(timed, located, better, event);
   return replaced ?? relayHead(timed, located);
 };
 
--- a/packages/core/src/relay/relayContext.ts
+++ b/packages/core/src/relay/relayContext.ts
@@ -71,9 +71,6 @@
   const known = context.headTimes.get(key) ?? average.EMPTY_AVERAGE;
   return {
     ...context,
-    headTimes: context.headTimes.set(
-      key,
-      average.updateAverage(known, unitMs, HEAD_TIME_WEIGHT),
-    ),
+    headTimes: context.headTimes.set(key, average.updateAverage(known, unitMs, HEAD_TIME_WEIGHT)),
   };
 };
--- a/packages/core/src/relay/relayPlacement.ts
+++ b/packages/core/src/relay/relayPlacement.ts
@@ -35,6 +35,12 @@
 const isEngine = (current: routerState.RouterState, service: string): boolean =>
   (current.relay.view?.services.get(service)?.engine ?? null) !== null;
 
+/** Names what keeps its version through a roll-out: the session, or else the request. */
+export const getSessionKey = (
+  request: requestState.RequestState,
+  relay: relayState.RelayState,
+): string => relay.call.session ?? prefixMemory.getSubject(relay.call) ?? request.id;
+
 /** Tells whether a roll-out lets a request run on an upstream's version. */
 export const isVersionAllowed = (
   trial: versionTrial.VersionTrial | undefined,
@@ -48,16 +54,12 @@
   }
   const isNew = version === trial.order.to;
   const share = versionTrial.getShare(trial, nowMs);
-  const hash = shared.hash.hashToFraction(`${trial.order.service}|${getSessionKey(request, relay)}`);
+  const hash = shared.hash.hashToFraction(
+    `${trial.order.service}|${getSessionKey(request, relay)}`,
+  );
   return isNew ? hash < share : hash >= share;
 };
 
-/** Names what keeps its version through a roll-out: the session, or else the request. */
-export const getSessionKey = (
-  request: requestState.RequestState,
-  relay: relayState.RelayState,
-): string => relay.call.session ?? prefixMemory.getSubject(relay.call) ?? request.id;
-
 const canTake = (
   current: routerState.RouterState,
   upstream: upstreamState.UpstreamState,
@@ -132,9 +134,11 @@
   );
   // The home upstream has read the subject for other routers.
   const sharedTokens = prefixMemory.countSharedTokens(relay.call);
-  const unread = upstream.host.id === home ? Math.min(missing, relay.call.tokensIn - sharedTokens) : missing;
+  const unread =
+    upstream.host.id === home ? Math.min(missing, relay.call.tokensIn - sharedTokens) : missing;
   const reading = (upstream.prefillTokens + unread) / TOKENS_PER_LOAD;
-  const reread = (Math.max(0, unread - (relay.call.tokensIn - sharedTokens)) / 1_000) * REREAD_PENALTY;
+  const reread =
+    (Math.max(0, unread - (relay.call.tokensIn - sharedTokens)) / 1_000) * REREAD_PENALTY;
   const zone = upstream.host.zone === current.self.zone ? 0 : ZONE_PENALTY;
   const spread = shared.hash.hashToFraction(`${query.random}|${upstream.host.id}`) * SPREAD;
   return (load + reading) * getSlowness(upstream, nowMs) + reread + zone + spread;
--- a/packages/core/src/relay/relayTrials.ts
+++ b/packages/core/src/relay/relayTrials.ts
@@ -76,11 +76,15 @@
   trial: versionTrial.VersionTrial,
   nowMs: number,
 ): step.Step => {
-  const stage = versionTrial.decideEnd(trial, countOldRunning(current, trial), nowMs);
+  const stage = versionTrial.judgeEnd(trial, countOldRunning(current, trial), nowMs);
   if (stage === null || nowMs - trial.settledAtMs < SETTLE_PAUSE_MS) {
     return step.makeStep(current);
   }
-  const effect: effects.EffectOf<'settleTrial'> = { type: 'settleTrial', order: trial.order, stage };
+  const effect: effects.EffectOf<'settleTrial'> = {
+    type: 'settleTrial',
+    order: trial.order,
+    stage,
+  };
   return step.makeStep(withTrial(current, { ...trial, settledAtMs: nowMs }), effect);
 };
 
--- a/packages/core/src/relay/versionTrial.ts
+++ b/packages/core/src/relay/versionTrial.ts
@@ -158,7 +158,7 @@
   trial.oldRunning.every((report) => report.count === 0 || nowMs - report.atMs > IDLE_REPORT_MS);
 
 /** Decides how a running trial should end now, or null while it goes on. */
-export const decideEnd = (
+export const judgeEnd = (
   trial: VersionTrial,
   ownRunning: number,
   nowMs: number,
--- a/packages/router/src/relay/relayAttempt.ts
+++ b/packages/router/src/relay/relayAttempt.ts
@@ -107,6 +107,13 @@
       }, timeoutMs);
     }
   };
+  /** A caller that reads slowly slows its upstream down instead of filling memory. */
+  const writeEvent = (bytes: Buffer): void => {
+    if (!pending.response.write(bytes)) {
+      controller?.pause();
+      pending.response.once('drain', () => controller?.resume());
+    }
+  };
   /** Passes whole events on; ids must follow one another without a gap. */
   const relayEvents = (bytes: Buffer): void => {
     for (const event of splitter.push(bytes)) {
@@ -117,10 +124,7 @@
       }
       if (event.id === null || last === null || event.id > last) {
         pending.lastEventId = event.id ?? last;
-        if (!pending.response.write(event.bytes)) {
-          controller?.pause();
-          pending.response.once('drain', () => controller?.resume());
-        }
+        writeEvent(event.bytes);
       }
     }
   };
@@ -162,10 +166,7 @@
     watchSilence(send.gapTimeoutMs);
     listener.handleHead({ status: head?.status ?? 0, confidence });
   };
-  const handleResponse = (
-    status: number,
-    headers: platform.callHeaders.ParsedHeaders,
-  ): void => {
+  const handleResponse = (status: number, headers: platform.callHeaders.ParsedHeaders): void => {
     const told = platform.answerHeaders.readAnswerHeaders(status, headers);
     const garbage = findGarbage(status, told, pending.callerId);
     if (garbage !== null) {
@@ -236,7 +237,7 @@
   watchSilence(send.headTimeoutMs);
   pools.get(attempt.address).dispatch(
     {
-      method: pending.method as undici.Dispatcher.HttpMethod,
+      method: pending.method,
       path: pending.url,
       headers: platform.callHeaders.makeSendHeaders(pending.rawHeaders, pending.headers, {
         upstreamId: attempt.upstreamId,
--- a/packages/router/src/relay/relayMetrics.ts
+++ b/packages/router/src/relay/relayMetrics.ts
@@ -15,7 +15,10 @@
 export const makeRelayMetrics = (): RelayMetrics => {
   const outcomes = new Map<string, number>();
   const failures = new Map<string, number>();
-  const answered = hdr.build({ highestTrackableValue: HIGHEST_MS, numberOfSignificantValueDigits: 2 });
+  const answered = hdr.build({
+    highestTrackableValue: HIGHEST_MS,
+    numberOfSignificantValueDigits: 2,
+  });
   const add = (counts: Map<string, number>, name: string): void => {
     counts.set(name, (counts.get(name) ?? 0) + 1);
   };
@@ -29,7 +32,9 @@
     countFailure: (failure) => add(failures, failure),
     render: (gauges) =>
       [
-        ...Array.from(outcomes).map(([name, count]) => `jayrock_requests{outcome="${name}"} ${count}`),
+        ...Array.from(outcomes).map(
+          ([name, count]) => `jayrock_requests{outcome="${name}"} ${count}`,
+        ),
         ...Array.from(failures).map(
           ([name, count]) => `jayrock_attempt_failures{failure="${name}"} ${count}`,
         ),
--- a/packages/router/src/relay/relayRunners.ts
+++ b/packages/router/src/relay/relayRunners.ts
@@ -77,8 +77,7 @@
           lastEventId: pending.lastEventId,
         });
       },
-      handleLoad: (report) =>
-        context.node.dispatch({ type: 'loadReported', upstreamId, report }),
+      handleLoad: (report) => context.node.dispatch({ type: 'loadReported', upstreamId, report }),
     },
   );
   pending.attempts.set(attemptId, running);
--- a/packages/router/src/relay/relayServer.ts
+++ b/packages/router/src/relay/relayServer.ts
@@ -56,7 +56,10 @@
 };
 
 /** Reads a whole body; null when it is too large or breaks off. */
-const readBody = async (request: http.IncomingMessage, maxBytes: number): Promise<Buffer | null> => {
+const readBody = async (
+  request: http.IncomingMessage,
+  maxBytes: number,
+): Promise<Buffer | null> => {
   const chunks: Buffer[] = [];
   let bytes = 0;
   for await (const chunk of request) {
@@ -84,7 +87,7 @@
     type: 'relayArrived',
     requestId: pending.id,
     call: {
-      host: String(pending.headers['host'] ?? ''),
+      host: String(pending.headers.host ?? ''),
       path: splitUrl(pending.url),
       key: call.key,
       deadlineMs: call.deadlineMs,
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -135,11 +135,7 @@
   ownPlatform: openPlatform.OwnPlatform,
   baseDir: string,
 ): Promise<shared.outcome.Outcome<RunningRouter, readonly shared.jsonc.FileProblem[]>> => {
-  const result = await openPlatform.openPlatform(
-    ownPlatform,
-    baseDir,
-    getLocalAddress(settings),
-  );
+  const result = await openPlatform.openPlatform(ownPlatform, baseDir, getLocalAddress(settings));
   if (!result.ok) {
     return result;
   }
