--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -2,6 +2,7 @@
 import type * as claimLog from './claims/claimLog.js';
 import type * as demand from './orders/demand.js';
 import type * as member from './membership/member.js';
+import type * as relayContext from './relay/relayContext.js';
 import type * as relayState from './relay/relayState.js';
 import type * as trialEvidence from './relay/trialEvidence.js';
 import type * as versionTrial from './relay/versionTrial.js';
@@ -119,6 +120,8 @@
   readonly ordersDue: Readonly<Record<never, never>>;
   readonly demandTold: { readonly source: string; readonly rows: readonly demand.DemandRow[] };
   readonly routesAdopted: { readonly table: shared.routeTable.RouteTable };
+  /** The settings of the process have changed. */
+  readonly relaySettingsChanged: { readonly settings: relayContext.RelaySettings };
   readonly hostChanged: { readonly host: shared.hosts.Host };
   readonly hostRemoved: { readonly hostId: string };
   readonly relayArrived: {
--- a/packages/core/src/relay/relayFeeds.ts
+++ b/packages/core/src/relay/relayFeeds.ts
@@ -23,6 +23,12 @@
   });
 };
 
+const handleSettingsChanged = (
+  current: routerState.RouterState,
+  event: events.EventOf<'relaySettingsChanged'>,
+): step.Step =>
+  step.makeStep({ ...current, relay: { ...current.relay, settings: event.settings } });
+
 const handleHostChanged = (
   current: routerState.RouterState,
   event: events.EventOf<'hostChanged'>,
@@ -73,6 +79,7 @@
 /** Handlers of tables of routes and of changes of single hosts. */
 export const HANDLERS = {
   routesAdopted: handleRoutesAdopted,
+  relaySettingsChanged: handleSettingsChanged,
   hostChanged: handleHostChanged,
   hostRemoved: handleHostRemoved,
 } as const;
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -1,4 +1,5 @@
 #!/usr/bin/env node
+import * as fs from 'node:fs';
 import * as path from 'node:path';
 import * as cac from 'cac';
 import * as shared from '@jayrock/shared';
@@ -27,24 +28,64 @@
   return lists.ok ? [] : lists.error;
 };
 
-const serve = async (settings: shared.settings.Settings, baseDir: string): Promise<void> => {
-  const started =
-    settings.platform.kind === 'managed'
-      ? shared.outcome.makeOk(await startRelay.startRelay(settings, settings.platform))
-      : await startRouter.startRouter(settings, settings.platform, baseDir);
-  if (!started.ok) {
-    failWith(started.error);
-    return;
+/** Time between two looks at whether the settings file has changed, in milliseconds. */
+const SETTINGS_POLL_MS = 1_000;
+
+/** A router in service, however its platform is reached. */
+interface Running {
+  readonly stop: () => Promise<void>;
+  readonly reload: (settings: shared.settings.Settings) => void;
+}
+
+/** Takes changed settings over if they are valid; else the old ones stay in force. */
+const replaceSettings = (running: Running | null, file: string): void => {
+  const changed = shared.jsonc.loadJsonc(file, shared.settings.settingsSchema);
+  if (changed.ok) {
+    running?.reload(changed.value);
+  } else {
+    changed.error.forEach((problem) =>
+      process.stderr.write(`${shared.jsonc.formatProblem(problem)}\n`),
+    );
   }
-  const running = started.value;
+};
+
+const start = async (
+  settings: shared.settings.Settings,
+  baseDir: string,
+): Promise<shared.outcome.Outcome<Running, readonly shared.jsonc.FileProblem[]>> =>
+  settings.platform.kind === 'managed'
+    ? shared.outcome.makeOk(await startRelay.startRelay(settings, settings.platform))
+    : startRouter.startRouter(settings, settings.platform, baseDir);
+
+const serve = async (
+  settings: shared.settings.Settings,
+  file: string,
+  baseDir: string,
+): Promise<void> => {
+  let running: Running | null = null;
   const stop = (): void => {
+    if (running === null) {
+      process.exit(0);
+    }
     running.stop().then(
       () => process.exit(0),
       () => process.exit(1),
     );
   };
+  // Signals may come while the router still starts.
   process.once('SIGTERM', stop);
   process.once('SIGINT', stop);
+  process.on('SIGHUP', () => replaceSettings(running, file));
+  fs.watchFile(file, { interval: SETTINGS_POLL_MS, persistent: false }, () =>
+    replaceSettings(running, file),
+  );
+  const started = await start(settings, baseDir);
+  if (started.ok) {
+    running = started.value;
+  } else {
+    fs.unwatchFile(file);
+    failWith(started.error);
+  }
 };
 
 const run = async (file: string, isCheck: boolean): Promise<void> => {
@@ -63,7 +104,7 @@
     process.stdout.write(`${file}: valid\n`);
     return;
   }
-  await serve(settings.value, baseDir);
+  await serve(settings.value, file, baseDir);
 };
 
 const cli = cac.cac('jayrockd');
--- a/packages/router/src/relay/startRelay.ts
+++ b/packages/router/src/relay/startRelay.ts
@@ -40,6 +40,8 @@
 
 /** A router of routes in service. */
 export interface RunningRelay {
+  /** Takes over the bounds of changed settings; addresses need a restart. */
+  readonly reload: (settings: shared.settings.Settings) => void;
   /** Finishes every request that was read, and ends. */
   readonly stop: () => Promise<void>;
 }
@@ -216,5 +218,14 @@
     peers.stop();
     await Promise.race([closed, shared.delay.wait(STOP_POLL_MS)]);
   };
-  return { stop };
+  return {
+    stop,
+    reload: (changed) => {
+      if (changed.platform.kind === 'managed') {
+        const next = makeRelaySettings(changed.platform);
+        node.dispatch({ type: 'relaySettingsChanged', settings: next });
+        log.info({ settings: next }, 'settings taken over');
+      }
+    },
+  };
 };
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -38,6 +38,8 @@
 
 /** A router in service. */
 export interface RunningRouter {
+  /** Settings of a router with its own platform are read at its start only. */
+  readonly reload: (settings: shared.settings.Settings) => void;
   readonly routerId: string;
   readonly node: runtime.Runtime;
   readonly platform: openPlatform.Platform;
@@ -207,5 +209,12 @@
     await Promise.all([peerListener.close(), status.close()]);
     await Promise.all([pools.close(), services.client.close(), opened.close()]);
   };
-  return shared.outcome.makeOk({ routerId, node, platform: opened, levels, stop });
+  return shared.outcome.makeOk({
+    reload: () => undefined,
+    routerId,
+    node,
+    platform: opened,
+    levels,
+    stop,
+  });
 };
