feat(router): leave upstreams that accept no connection within half a second

Ruled out: load (p50 unchanged). After 200 ms of silence a connection is tried; if it is not accepted, repeatable work goes on elsewhere.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -58,6 +58,8 @@
             'series',
             'host',
             'standIn',
+            'watched',
+            'known',
           ],
         },
       ],
--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -15,8 +15,6 @@
   readonly organisation: string | null;
   /** Time the upstream is given, in milliseconds. */
   readonly timeLeftMs: number;
-  /** Last event the caller has, or null. */
-  readonly lastEventId: number | null;
   /** Time without an answer after which the upstream counts as silent, in milliseconds. */
   readonly headTimeoutMs: number;
   /** Time without a further event after which it counts as silent, in milliseconds. */
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -146,9 +146,9 @@
     readonly isNotRun: boolean;
     /** True when the upstream's process is known to have ended. */
     readonly hasCrashed: boolean;
-    /** Last event passed to the caller, or null before the first. */
-    readonly lastEventId: number | null;
   };
+  /** Whether an upstream accepts connections from this router. */
+  readonly upstreamReached: { readonly upstreamId: string; readonly isReachable: boolean };
   readonly trialSeen: {
     readonly order: versionTrial.VersionOrder;
     readonly stage: versionTrial.TrialStage;
--- a/packages/core/src/relay/relayAnswers.ts
+++ b/packages/core/src/relay/relayAnswers.ts
@@ -115,6 +115,25 @@
   );
 };
 
+const describeDecision = (
+  { request, relay, attempt }: Located,
+  event: events.EventOf<'relayHeadArrived'>,
+  better: string | null,
+): effects.EffectOf<'log'> => ({
+  type: 'log',
+  message: better === null ? 'answer kept' : 'answer replaced',
+  fields: {
+    request: request.id,
+    upstream: attempt.upstreamId,
+    model: relay.model,
+    better,
+    confidence: event.head.confidence,
+    tokensIn: relay.call.tokensIn,
+    tokensOut: request.expectedTokens,
+    elapsedMs: Math.round(event.nowMs - attempt.startedAtMs),
+  },
+});
+
 const handleHead = (
   current: routerState.RouterState,
   event: events.EventOf<'relayHeadArrived'>,
@@ -132,13 +151,18 @@
   const counted = countEvidence(current, located, elapsedMs, event.nowMs);
   const timed = clearPrefill(recordHead(counted, located, event.nowMs), located);
   const { view } = timed.relay;
-  const isFirstPiece = request.relayedAttempt === null && relay.lastEventId === null;
+  const isFirstPiece = request.relayedAttempt === null && relay.call.lastEventId === null;
   const better =
     view === null || !isFirstPiece
       ? null
       : modelChoice.pickBetterModel(view, request.service, relay, event.head.confidence);
   const replaced = better === null ? null : relayRetry.replaceModel(timed, located, better, event);
-  return replaced ?? relayHead(timed, located);
+  const decided = replaced ?? relayHead(timed, located);
+  return event.head.confidence === null
+    ? decided
+    : step.chainStep(decided, (next) =>
+        step.makeStep(next, describeDecision(located, event, replaced === null ? null : better)),
+      );
 };
 
 const handleEnded = (
@@ -192,9 +216,39 @@
   return relayRetry.recoverFailed(counted, located, event);
 };
 
+const listAttempts = (current: routerState.RouterState, upstreamId: string): readonly Located[] =>
+  current.requests
+    .valueSeq()
+    .toArray()
+    .flatMap((request) =>
+      request.attempts
+        .filter((attempt) => attempt.upstreamId === upstreamId)
+        .map((attempt) => findAttempt(current, { requestId: request.id, attemptId: attempt.id })),
+    )
+    .filter((located) => located !== null);
+
+const handleReached = (
+  current: routerState.RouterState,
+  event: events.EventOf<'upstreamReached'>,
+): step.Step => {
+  const { upstreamId, isReachable } = event;
+  const noted = step.makeStep(
+    routerState.updateUpstream(current, upstreamId, (known) => ({ ...known, isReachable })),
+    { type: 'log', message: 'upstream reached', fields: { upstream: upstreamId, isReachable } },
+  );
+  return isReachable
+    ? step.chainStep(noted, (next) => dispatch.drainUpstream(next, upstreamId, event))
+    : listAttempts(current, upstreamId).reduce(
+        (done, located) =>
+          step.chainStep(done, (next) => relayRetry.leaveUpstream(next, located, event)),
+        noted,
+      );
+};
+
 /** Handlers of the answers of routed requests. */
 export const HANDLERS = {
   relayHeadArrived: handleHead,
   relayEnded: handleEnded,
   relayFailed: handleFailed,
+  upstreamReached: handleReached,
 } as const;
--- a/packages/core/src/relay/relayArrival.ts
+++ b/packages/core/src/relay/relayArrival.ts
@@ -126,7 +126,6 @@
       model: modelChoice.pickFirstModel(route.sizes, call),
       rank: holder?.priority ?? route.priority,
       version: null,
-      lastEventId: call.lastEventId,
       notRunCount: 0,
     },
   };
--- a/packages/core/src/relay/relayPlacement.ts
+++ b/packages/core/src/relay/relayPlacement.ts
@@ -84,7 +84,7 @@
 };
 
 const isHealthy = (upstream: upstreamState.UpstreamState): boolean =>
-  upstream.inFlight < HEALTH_LIMITS[upstream.health];
+  upstream.isReachable && upstream.inFlight < HEALTH_LIMITS[upstream.health];
 
 /** Tells whether an upstream may take a routed request now. */
 export const canAccept = (
@@ -182,6 +182,7 @@
   const usable = upstreams.filter((one) => canTake(current, one, query));
   const healthy = usable.filter(isHealthy);
   const home = findHome(upstreams, query.relay.call);
-  const isLastResort = healthy.length === 0 && upstreams.every((one) => one.health !== 'ok');
+  const isLastResort =
+    healthy.length === 0 && upstreams.every((one) => one.health !== 'ok' || !one.isReachable);
   return pickBest(current, isLastResort ? usable : healthy, query, home);
 };
--- a/packages/core/src/relay/relayRetry.ts
+++ b/packages/core/src/relay/relayRetry.ts
@@ -192,6 +192,23 @@
     : relayRefusal.endUnanswered(current, request, FAILURE_CODES[event.failure], event);
 };
 
+/** Work on an upstream that cannot be reached goes on elsewhere, if it may; the rest keeps waiting. */
+export const leaveUpstream = (
+  current: routerState.RouterState,
+  located: Located,
+  stamp: events.Stamp,
+): step.Step => {
+  const { request, relay, attempt } = located;
+  if (!request.isRepeatable || !canSendAgain(current, request, relay, stamp.nowMs)) {
+    return step.makeStep(current);
+  }
+  const cancelled = slots.cancelAttempt(current, request.id, attempt, stamp);
+  return step.chainStep(cancelled, (next) => {
+    const left = next.requests.get(request.id);
+    return left === undefined ? step.makeStep(next) : sendAgain(next, left, stamp);
+  });
+};
+
 /** Decides what becomes of a request whose attempt failed. */
 export const recoverFailed = (
   current: routerState.RouterState,
@@ -213,7 +230,6 @@
     relay: {
       ...relay,
       notRunCount: relay.notRunCount + Number(event.isNotRun && !event.isUnsent),
-      lastEventId: event.lastEventId ?? relay.lastEventId,
     },
   });
   const crashed = noteCrash(progressed, located, event);
--- a/packages/core/src/relay/relaySend.ts
+++ b/packages/core/src/relay/relaySend.ts
@@ -46,7 +46,6 @@
     rank: relay.rank,
     organisation: route.isPublic ? null : request.customer,
     timeLeftMs: Math.max(1, Math.floor(request.deadlineAtMs - nowMs)),
-    lastEventId: relay.lastEventId,
     headTimeoutMs: request.isRepeatable ? route.targetLatencyMs * HEAD_TIMEOUT_SHARE : Infinity,
     gapTimeoutMs: (route.gapTargetMs ?? DEFAULT_GAP_MS) * GAP_TIMEOUT_SHARE,
     isStream: route.kind === 'streaming',
--- a/packages/core/src/relay/relayState.ts
+++ b/packages/core/src/relay/relayState.ts
@@ -41,8 +41,6 @@
   readonly rank: number;
   /** Version of the upstreams that a stream began on, or null. */
   readonly version: string | null;
-  /** Last event the caller has, or null before the first. */
-  readonly lastEventId: number | null;
   /** Time up to which the request waits here for room, in milliseconds. */
   readonly queueUntilMs: number;
   /** Sends that the upstream has proved it did not run. */
--- a/packages/core/src/upstreamState.ts
+++ b/packages/core/src/upstreamState.ts
@@ -36,6 +36,8 @@
   readonly paceAtMs: number;
   readonly failuresInRow: number;
   readonly health: UpstreamHealth;
+  /** False while the upstream accepts no connection from this router. */
+  readonly isReachable: boolean;
   readonly returnsAtMs: number;
   readonly ejectionCount: number;
   readonly retryBudget: budget.Budget;
@@ -82,6 +84,7 @@
   paceAtMs: 0,
   failuresInRow: 0,
   health: 'ok',
+  isReachable: true,
   returnsAtMs: 0,
   ejectionCount: 0,
   retryBudget: budget.makeBudget(UPSTREAM_RETRY_RULE),
--- a/packages/router/src/relay/relayAttempt.ts
+++ b/packages/router/src/relay/relayAttempt.ts
@@ -20,6 +20,10 @@
   readonly handleHead: (head: core.relayState.AnswerHead) => void;
   readonly handleEnd: () => void;
   readonly handleFailure: (failure: RelayFailure) => void;
+  /** Any byte of an answer. */
+  readonly handleHeard: () => void;
+  /** The send is over, however it ended. */
+  readonly handleOver: () => void;
   readonly handleLoad: (report: NonNullable<platform.answerHeaders.AnswerHeaders['load']>) => void;
 }
 
@@ -79,6 +83,12 @@
   let heldBytes = 0;
   let timer: NodeJS.Timeout | null = null;
 
+  const endSend = (): void => {
+    if (!isOver) {
+      isOver = true;
+      listener.handleOver();
+    }
+  };
   const stopTimer = (): void => {
     if (timer !== null) {
       clearTimeout(timer);
@@ -88,7 +98,7 @@
   const abort = (reason: string): void => controller?.abort(new Error(reason));
   const fail = (failure: RelayFailure): void => {
     if (!isOver) {
-      isOver = true;
+      endSend();
       mode = 'ignoring';
       stopTimer();
       listener.handleFailure(failure);
@@ -222,7 +232,7 @@
         return;
       }
     }
-    isOver = true;
+    endSend();
     listener.handleEnd();
   };
   const handleError = (error: Error): void => {
@@ -245,7 +255,7 @@
         organisation: send.organisation,
         model: send.model,
         urgency: send.rank,
-        lastEventId: send.lastEventId,
+        lastEventId: pending.lastEventId,
       }),
       body: pending.body.length === 0 ? null : pending.body,
       idempotent: false,
@@ -260,11 +270,15 @@
         isStarted = true;
       },
       onResponseStart: (_, status, headers) => {
+        listener.handleHeard();
         if (!isOver && status >= FIRST_SUCCESS_STATUS) {
           handleResponse(status, headers);
         }
       },
-      onResponseData: (_, bytes) => handleData(bytes),
+      onResponseData: (_, bytes) => {
+        listener.handleHeard();
+        handleData(bytes);
+      },
       onResponseEnd: handleEnd,
       onResponseError: (_, error) => handleError(error),
     },
@@ -272,7 +286,7 @@
   return {
     cancel: () => {
       isCancelled = true;
-      isOver = true;
+      endSend();
       mode = 'ignoring';
       stopTimer();
       abort('the router no longer needs the answer');
--- a/packages/router/src/relay/relayRunners.ts
+++ b/packages/router/src/relay/relayRunners.ts
@@ -4,6 +4,7 @@
 import type * as peerService from '../peers/peerService.js';
 import type * as runtime from '../runtime.js';
 import type * as agents from '../upstreams/agents.js';
+import type * as reachMonitor from './reachMonitor.js';
 import * as relayAttempt from './relayAttempt.js';
 import type * as relayMetrics from './relayMetrics.js';
 import type * as relayPending from './relayPending.js';
@@ -17,6 +18,7 @@
   readonly pools: agents.Agents;
   readonly peers: peerService.PeerService;
   readonly trials: trialRecords.TrialRecords;
+  readonly reach: reachMonitor.ReachMonitor;
   readonly metrics: relayMetrics.RelayMetrics;
   readonly log: pino.Logger;
 }
@@ -39,6 +41,7 @@
     return;
   }
   const { requestId, attemptId, upstreamId, address, relay: send } = effect;
+  context.reach.recordStart(upstreamId, address);
   const running = relayAttempt.startRelayAttempt(
     context.pools,
     { pending, attemptId, upstreamId, address, send },
@@ -74,9 +77,10 @@
           isUnsent,
           isNotRun,
           hasCrashed: false,
-          lastEventId: pending.lastEventId,
         });
       },
+      handleHeard: () => context.reach.recordHeard(upstreamId),
+      handleOver: () => context.reach.recordEnd(upstreamId),
       handleLoad: (report) => context.node.dispatch({ type: 'loadReported', upstreamId, report }),
     },
   );
--- a/packages/router/src/relay/startRelay.ts
+++ b/packages/router/src/relay/startRelay.ts
@@ -13,6 +13,7 @@
 import * as hostFeed from './hostFeed.js';
 import * as peerFeed from './peerFeed.js';
 import * as prefixFeed from './prefixFeed.js';
+import * as reachMonitor from './reachMonitor.js';
 import * as relayMetrics from './relayMetrics.js';
 import type * as relayPending from './relayPending.js';
 import * as relayRunners from './relayRunners.js';
@@ -113,10 +114,11 @@
   const pools = agents.makeAgents(localAddress);
   const store = platform.storeClient.openStoreClient(managed.storeAddress, localAddress);
   const client = rpcClient.makeRpcClient(settings.peerSecret, localAddress);
+  const reach = reachMonitor.startReachMonitor(node);
   const peers = peerService.startPeerService(node, client);
   const trials = trialRecords.makeTrialRecords(node, store, log);
   node.connect(
-    relayRunners.makeRelayRunners({ node, pending, pools, peers, trials, metrics, log }),
+    relayRunners.makeRelayRunners({ node, pending, pools, peers, trials, reach, metrics, log }),
   );
   const peerListener = rpcServer.makeRpcServer(
     settings.peerSecret,
@@ -215,6 +217,7 @@
     [hosts, own, operator].forEach((feed) => feed?.stop());
     clearInterval(ticks);
     stopReports();
+    reach.stop();
     peers.stop();
     await Promise.race([closed, shared.delay.wait(STOP_POLL_MS)]);
   };
--- a/packages/router/src/upstreams/agents.ts
+++ b/packages/router/src/upstreams/agents.ts
@@ -1,7 +1,7 @@
 import * as undici from 'undici';
 
-/** Time to open a connection, in milliseconds. */
-const CONNECT_TIMEOUT_MS = 1_000;
+/** Time to open a connection, in milliseconds; live upstreams accept within a few. */
+const CONNECT_TIMEOUT_MS = 400;
 /** Time an idle connection is kept, in milliseconds. */
 const KEEP_ALIVE_MS = 4_000;
 /** Connections to one upstream. */
