--- /dev/null
+++ b/packages-private/measure/__tests__/routedSite.ts
@@ -0,0 +1,218 @@
+import * as http from 'node:http';
+import * as platform from '@jayrock/platform';
+import * as router from '@jayrock/router';
+import * as shared from '@jayrock/shared';
+import * as standIns from '@jayrock/stand-ins';
+
+const H = platform.wire.HEADERS;
+
+/** Host name of the fixtures' routes. */
+export const HOST = 'shop.example';
+/** Key of the fixtures' only organisation. */
+export const KEY = 'key-of-ada';
+
+const makeRoute = (name: string, kind: string, change: object = {}): object => ({
+  name,
+  host: HOST,
+  prefix: `/${name}/`,
+  kind,
+  timeout_ms: 2_000,
+  target_latency_ms: 400,
+  priority: 1,
+  service: 'desk',
+  max_attempts: 3,
+  public: false,
+  resumable: kind === 'streaming',
+  ...(kind === 'streaming' ? { gap_target_ms: 300 } : {}),
+  ...change,
+});
+
+/** Makes the operator's configuration. */
+export const makeConfiguration = (version: number, change: object = {}): object => ({
+  version,
+  routes: [
+    makeRoute('read', 'safe'),
+    makeRoute('issue', 'unsafe', { max_attempts: 2 }),
+    makeRoute('talk', 'streaming'),
+    makeRoute('sized', 'streaming', { sizes: ['small', 'large'] }),
+    makeRoute('open', 'safe', { public: true }),
+    makeRoute('brief', 'safe', { timeout_ms: 200 }),
+  ],
+  services: [
+    {
+      name: 'desk',
+      health_path: '/health',
+      max_connections: 100,
+      engine: {
+        slots: 8,
+        kv_capacity_tokens: 10_000,
+        models: [
+          { name: 'small', cost: 0.01 },
+          { name: 'large', cost: 0.2 },
+        ],
+      },
+    },
+  ],
+  limits: {
+    max_header_bytes: 16_384,
+    max_body_bytes: 10_000,
+    header_timeout_ms: 3_000,
+    idle_timeout_ms: 15_000,
+  },
+  tenants: [{ name: 'ada', keys: [KEY] }],
+  ...change,
+});
+
+/** A caller's request. */
+export interface Call {
+  readonly path: string;
+  readonly id: string;
+  readonly method?: string;
+  readonly body?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly key?: string | null;
+}
+
+/** What a caller got. */
+export interface Got {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+  /** False when the connection broke before the answer was whole. */
+  readonly isWhole: boolean;
+}
+
+/** A router with its store and upstreams on loopback. */
+export interface RoutedSite {
+  readonly store: standIns.platformStore.PlatformStore;
+  readonly upstreams: readonly standIns.routedUpstream.RoutedUpstream[];
+  readonly callers: string;
+  readonly ready: string;
+  readonly relay: router.startRelay.RunningRelay;
+  readonly listUpstream: (index: number, change?: object) => void;
+  readonly call: (call: Call) => Promise<Got>;
+  /** Sends a request and closes the connection after a time. */
+  readonly abandon: (call: Call, afterMs: number) => Promise<void>;
+  readonly close: () => Promise<void>;
+}
+
+const openRequest = (address: string, call: Call, agent: http.Agent): http.ClientRequest => {
+  const { host, port } = shared.settings.parseAddress(address);
+  return http.request({
+    host,
+    port,
+    agent,
+    path: call.path,
+    method: call.method ?? 'GET',
+    headers: {
+      host: HOST,
+      [H.requestId]: call.id,
+      [H.deadlineMs]: '1500',
+      ...(call.key === null ? {} : { [H.key]: call.key ?? KEY }),
+      ...call.headers,
+    },
+  });
+};
+
+const sendCall = (address: string, call: Call, agent: http.Agent): Promise<Got> =>
+  new Promise((resolve, reject) => {
+    const request = openRequest(address, call, agent);
+    request.once('error', reject);
+    request.once('response', (response) => {
+      const chunks: Buffer[] = [];
+      const settle = (isWhole: boolean): void =>
+        resolve({
+          status: response.statusCode ?? 0,
+          headers: response.headers,
+          body: Buffer.concat(chunks).toString('utf8'),
+          isWhole,
+        });
+      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      response.once('end', () => settle(true));
+      response.once('error', () => settle(false));
+    });
+    request.end(call.body);
+  });
+
+/** Starts a store, upstreams and a router on one loopback address. */
+export const startRoutedSite = async (
+  ip: string,
+  upstreamCount = 2,
+  bounds: object = {},
+): Promise<RoutedSite> => {
+  const store = await standIns.platformStore.startPlatformStore();
+  const upstreams = await Promise.all(
+    Array.from({ length: upstreamCount }, (_, index) =>
+      standIns.routedUpstream.startRoutedUpstream(`u-${index}`),
+    ),
+  );
+  const listUpstream = (index: number, change: object = {}): void => {
+    const upstream = upstreams[index];
+    if (upstream !== undefined) {
+      store.put(`${platform.wire.KEYS.upstreams}${upstream.id}`, {
+        service: 'desk',
+        address: upstream.address,
+        zone: 'a',
+        version: 'v1',
+        slots: 8,
+        state: 'ready',
+        sequence: 1,
+        born: 1_700_000_000_000,
+        ...change,
+      });
+    }
+  };
+  upstreams.forEach((_, index) => listUpstream(index));
+  store.put(platform.wire.KEYS.configuration, makeConfiguration(1));
+  const settings = shared.settings.settingsSchema.parse({
+    zone: 'a',
+    callers: `${ip}:7401`,
+    peers: `${ip}:7402`,
+    status: `${ip}:7403`,
+    peerSecret: 'a-secret-of-the-tests',
+    platform: {
+      kind: 'managed',
+      name: 'r-1',
+      storeAddress: store.address,
+      readyAddress: `${ip}:7404`,
+      bounds: { graceMs: 6_000, repeatShare: 2, repeatSlack: 100, ...bounds },
+    },
+    logLevel: 'silent',
+  });
+  if (settings.platform.kind !== 'managed') {
+    throw new Error('expected managed settings');
+  }
+  const relay = await router.startRelay.startRelay(settings, settings.platform);
+  const agent = new http.Agent({ keepAlive: true });
+  const site: RoutedSite = {
+    store,
+    upstreams,
+    callers: settings.callers,
+    ready: settings.platform.readyAddress,
+    relay,
+    listUpstream,
+    call: (call) => sendCall(settings.callers, call, agent),
+    abandon: async (call, afterMs) => {
+      const request = openRequest(settings.callers, call, new http.Agent());
+      request.on('error', () => undefined);
+      request.end(call.body);
+      await standIns.control.wait(afterMs);
+      request.destroy();
+    },
+    close: async () => {
+      agent.destroy();
+      await relay.close();
+      await Promise.all(upstreams.map((upstream) => upstream.close()));
+      await store.close();
+    },
+  };
+  for (;;) {
+    // eslint-disable-next-line no-await-in-loop -- the site is ready once a request is served
+    const got = await site.call({ path: '/open/', id: 'warm-up' });
+    if (got.status === 200) {
+      return site;
+    }
+    // eslint-disable-next-line no-await-in-loop -- each try follows a pause
+    await standIns.control.wait(20);
+  }
+};
--- a/packages-private/stand-ins/src/index.ts
+++ b/packages-private/stand-ins/src/index.ts
@@ -5,3 +5,5 @@
 export * as ratingServer from './ratingServer.js';
 export * as keyValueServer from './keyValueServer.js';
 export * as forwarder from './forwarder.js';
+export * as platformStore from './platformStore.js';
+export * as routedUpstream from './routedUpstream.js';
--- /dev/null
+++ b/packages-private/stand-ins/src/platformStore.ts
@@ -0,0 +1,163 @@
+import * as platform from '@jayrock/platform';
+import * as fastify from 'fastify';
+import * as control from './control.js';
+
+interface Item {
+  readonly key: string;
+  readonly value: string;
+  readonly rev: number;
+  readonly lease: number;
+}
+
+interface StoreEvent {
+  readonly key: string;
+  readonly rev: number;
+  readonly value?: string;
+  readonly tombstone?: true;
+}
+
+interface TransactionBody {
+  readonly precondition: readonly { readonly key: string; readonly rev: number }[];
+  readonly set_keys: readonly { key: string; value: string; lease: number }[];
+  readonly remove: readonly string[];
+}
+
+/** Faults of the store beyond those of every stand-in. */
+export interface StoreFaults extends control.Faults {
+  /** Answers every call with 503, having done nothing. */
+  isBusy: boolean;
+  /** Never answers. */
+  isSilent: boolean;
+}
+
+/** A stand-in of the platform's store. */
+export interface PlatformStore extends control.StandIn {
+  readonly faults: StoreFaults;
+  /** Writes as the operator or an upstream would. */
+  readonly put: (key: string, value: object | string) => void;
+  readonly remove: (key: string) => void;
+  readonly get: (key: string) => string | null;
+  /** Drops the history, so that waits from before have to read anew. */
+  readonly compact: () => void;
+  readonly countCalls: () => number;
+}
+
+const POLL_MS = 5;
+const PAGE_ITEMS = 50;
+
+/** Starts a stand-in of the platform's store. */
+export const startPlatformStore = async (): Promise<PlatformStore> => {
+  const faults: StoreFaults = { ...control.makeFaults(), isBusy: false, isSilent: false };
+  const items = new Map<string, Item>();
+  let events: StoreEvent[] = [];
+  let revision = 1;
+  let oldest = 0;
+  let calls = 0;
+  let leases = 0;
+  const write = (key: string, value: string, lease: number): void => {
+    items.set(key, { key, value, rev: revision, lease });
+    events.push({ key, value, rev: revision });
+  };
+  const erase = (key: string): void => {
+    if (items.delete(key)) {
+      events.push({ key, rev: revision, tombstone: true });
+    }
+  };
+  const server = fastify.fastify({ forceCloseConnections: true });
+  control.addCutHook(server, faults);
+  server.addHook('preHandler', async (request, reply) => {
+    calls += 1;
+    if (faults.isSilent) {
+      await control.waitUntil(() => !faults.isSilent);
+    }
+    if (faults.isBusy) {
+      await reply.code(503).send({});
+    }
+    await control.wait(faults.delayMs);
+    if (faults.losesAnswers && request.method === 'GET') {
+      request.raw.socket.destroy();
+    }
+  });
+  server.get(platform.wire.STORE_PATHS.key, async (request, reply) => {
+    const { key } = request.query as { readonly key: string };
+    const item = items.get(key);
+    return item === undefined ? reply.code(404).send({}) : { ...item, at: revision };
+  });
+  server.get(platform.wire.STORE_PATHS.range, async (request) => {
+    const { prefix, after = '' } = request.query as { prefix: string; after?: string };
+    const found = Array.from(items.values())
+      .filter((item) => item.key.startsWith(prefix) && item.key > after)
+      .toSorted((a, b) => (a.key < b.key ? -1 : 1));
+    return {
+      items: found.slice(0, PAGE_ITEMS),
+      has_more: found.length > PAGE_ITEMS,
+      at: revision,
+    };
+  });
+  server.get(platform.wire.STORE_PATHS.watch, async (request, reply) => {
+    const query = request.query as { prefix: string; after: string; wait_ms: string };
+    const after = Number(query.after);
+    const endMs = performance.now() + Number(query.wait_ms);
+    for (;;) {
+      if (after < oldest) {
+        return reply.code(410).send({});
+      }
+      const found = events.filter(
+        (event) => event.rev > after && event.key.startsWith(query.prefix),
+      );
+      if (found.length > 0 || performance.now() >= endMs) {
+        return { events: found, at: revision };
+      }
+      // eslint-disable-next-line no-await-in-loop -- each look follows a pause
+      await control.wait(POLL_MS);
+    }
+  });
+  server.post(platform.wire.STORE_PATHS.transaction, async (request, reply) => {
+    const body = request.body as TransactionBody;
+    const failed = body.precondition.filter(({ key, rev }) => (items.get(key)?.rev ?? 0) !== rev);
+    if (failed.length > 0) {
+      return reply.code(412).send({ items: failed.map(({ key }) => items.get(key)) });
+    }
+    revision += 1;
+    body.set_keys.forEach((row) => write(row.key, row.value, row.lease));
+    body.remove.forEach(erase);
+    if (faults.losesAnswers) {
+      request.raw.socket.destroy();
+      return reply;
+    }
+    return { rev: revision };
+  });
+  server.post(platform.wire.STORE_PATHS.lease, async (request) => {
+    leases += 1;
+    return { lease: leases, ttl_ms: (request.body as { ttl_ms: number }).ttl_ms };
+  });
+  server.post(`${platform.wire.STORE_PATHS.keep}:id`, async () => ({ ttl_ms: 1_000 }));
+  const address = await control.listenOn(server, 0);
+  return {
+    address,
+    faults,
+    put: (key, value) => {
+      revision += 1;
+      const text = typeof value === 'string' ? value : JSON.stringify(value);
+      write(key, Buffer.from(text).toString('base64'), 0);
+    },
+    remove: (key) => {
+      revision += 1;
+      erase(key);
+    },
+    get: (key) => {
+      const item = items.get(key);
+      return item === undefined ? null : Buffer.from(item.value, 'base64').toString('utf8');
+    },
+    compact: () => {
+      oldest = revision;
+      events = [];
+    },
+    countCalls: () => calls,
+    close: async () => {
+      faults.isSilent = false;
+      server.server.closeAllConnections();
+      await server.close();
+    },
+  };
+};
--- /dev/null
+++ b/packages-private/stand-ins/src/routedUpstream.ts
@@ -0,0 +1,175 @@
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import * as platform from '@jayrock/platform';
+import * as control from './control.js';
+
+const H = platform.wire.HEADERS;
+
+/** One request as an upstream received it. */
+export interface Received {
+  readonly id: string;
+  readonly method: string;
+  readonly url: string;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+}
+
+/** How an upstream answers. */
+export type Behaviour =
+  | { readonly kind: 'answer'; readonly status: number; readonly body: string }
+  | { readonly kind: 'stream'; readonly events: number; readonly cutAfter?: number }
+  | { readonly kind: 'turnAway'; readonly status: number }
+  | { readonly kind: 'reset' }
+  | { readonly kind: 'hang' }
+  | { readonly kind: 'foreign' }
+  | { readonly kind: 'short' }
+  | { readonly kind: 'unsigned' };
+
+/** A stand-in of an upstream behind routes. */
+export interface RoutedUpstream {
+  readonly id: string;
+  readonly address: string;
+  readonly received: readonly Received[];
+  /** Requests whose connection the router closed before the answer was whole. */
+  readonly cancelled: readonly string[];
+  /** Confidence told with streams, or null. */
+  confidence: number | null;
+  behaviour: Behaviour;
+  readonly close: () => Promise<void>;
+}
+
+const EVENT_PAUSE_MS = 5;
+
+const makeEvent = (id: number): string => `id: ${id}\ndata: piece ${id}\n\n`;
+
+/** Lists the bytes of a whole stream. */
+export const renderStream = (events: number): string =>
+  Array.from({ length: events }, (_, index) => makeEvent(index + 1)).join('');
+
+type Answerer = (
+  upstream: RoutedUpstream,
+  received: Received,
+  response: http.ServerResponse,
+) => void;
+
+const setSigned = (
+  upstream: RoutedUpstream,
+  received: Received,
+  response: http.ServerResponse,
+): void => {
+  response.setHeader(H.requestId, received.id);
+  response.setHeader(H.stamp, `stamp-of-${upstream.id}`);
+};
+
+const streamAnswer: Answerer = (upstream, received, response) => {
+  const { behaviour } = upstream;
+  if (behaviour.kind !== 'stream') {
+    return;
+  }
+  setSigned(upstream, received, response);
+  response.setHeader('content-type', 'text/event-stream');
+  if (upstream.confidence !== null) {
+    response.setHeader(H.confidence, String(upstream.confidence));
+  }
+  const { cutAfter } = behaviour;
+  let next = Number(received.headers[H.lastEventId] ?? 0) + 1;
+  const timer = setInterval(() => {
+    if (response.destroyed || next > behaviour.events) {
+      clearInterval(timer);
+      response.end();
+    } else if (cutAfter !== undefined && next > cutAfter) {
+      clearInterval(timer);
+      response.write(makeEvent(next).slice(0, 5));
+      response.socket?.resetAndDestroy();
+    } else {
+      response.write(makeEvent(next));
+      next += 1;
+    }
+  }, EVENT_PAUSE_MS);
+};
+
+const ANSWERERS: Readonly<Record<Behaviour['kind'], Answerer>> = {
+  answer: (upstream, received, response) => {
+    const { behaviour } = upstream;
+    setSigned(upstream, received, response);
+    if (behaviour.kind === 'answer') {
+      response.writeHead(behaviour.status).end(behaviour.body);
+    }
+  },
+  stream: streamAnswer,
+  turnAway: (upstream, _, response) => {
+    const status = upstream.behaviour.kind === 'turnAway' ? upstream.behaviour.status : 503;
+    response.writeHead(status, { [H.notRun]: '1' }).end();
+  },
+  reset: (_, __, response) => response.socket?.resetAndDestroy(),
+  hang: () => undefined,
+  foreign: (upstream, received, response) => {
+    setSigned(upstream, { ...received, id: 'another' }, response);
+    response.end('not yours');
+  },
+  short: (upstream, received, response) => {
+    setSigned(upstream, received, response);
+    response.setHeader('content-length', '100');
+    response.write('only a part');
+    setTimeout(() => response.socket?.end(), EVENT_PAUSE_MS);
+  },
+  unsigned: (_, received, response) => {
+    response.setHeader(H.requestId, received.id);
+    response.end('unsigned');
+  },
+};
+
+const readText = async (request: http.IncomingMessage): Promise<string> => {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) {
+    chunks.push(chunk as Buffer);
+  }
+  return Buffer.concat(chunks).toString('utf8');
+};
+
+/** Starts a stand-in of an upstream behind routes. */
+export const startRoutedUpstream = async (id: string): Promise<RoutedUpstream> => {
+  const received: Received[] = [];
+  const cancelled: string[] = [];
+  const state: { confidence: number | null; behaviour: Behaviour } = {
+    confidence: null,
+    behaviour: { kind: 'answer', status: 200, body: `from ${id}` },
+  };
+  const server = http.createServer((request, response) => {
+    const serve = async (upstream: RoutedUpstream): Promise<void> => {
+      const body = await readText(request);
+      const one: Received = {
+        id: String(request.headers[H.requestId]),
+        method: request.method ?? '',
+        url: request.url ?? '',
+        headers: request.headers,
+        body,
+      };
+      received.push(one);
+      response.once('close', () => {
+        if (!response.writableFinished) {
+          cancelled.push(one.id);
+        }
+      });
+      ANSWERERS[upstream.behaviour.kind](upstream, one, response);
+    };
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the server starts first
+    serve(standIn).catch(() => response.destroy());
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', () => resolve());
+  });
+  const { port } = server.address() as net.AddressInfo;
+  const standIn: RoutedUpstream = Object.assign(state, {
+    id,
+    address: `127.0.0.1:${port}`,
+    received,
+    cancelled,
+    close: async () => {
+      server.closeAllConnections();
+      server.close();
+      await control.wait(0);
+    },
+  });
+  return standIn;
+};
--- a/packages/router/src/relay/peerFeed.ts
+++ b/packages/router/src/relay/peerFeed.ts
@@ -18,6 +18,7 @@
   readonly handleChange: (key: string, value: string | null) => void;
   /** Takes this router off the list. */
   readonly leave: () => Promise<void>;
+  readonly stop: () => void;
 }
 
 const decodeAddress = (value: string): string | null => {
@@ -81,6 +82,7 @@
         addresses: Array.from(new Set(addresses.values())),
       });
     },
+    stop: () => clearInterval(timer),
     leave: async () => {
       clearInterval(timer);
       await store.commit({ checks: [], puts: [], deletes: [key] });
--- a/packages/router/src/relay/startRelay.ts
+++ b/packages/router/src/relay/startRelay.ts
@@ -41,6 +41,8 @@
 
 /** A router of routes in service. */
 export interface RunningRelay {
+  /** Ends at once, for tests and for a process that exits anyway. */
+  readonly close: () => Promise<void>;
   /** Takes over the bounds of changed settings; addresses need a restart. */
   readonly reload: (settings: shared.settings.Settings) => void;
   /** Finishes every request that was read, and ends. */
@@ -197,6 +199,22 @@
   node.dispatch({ type: 'probeDue' });
   log.info({ callers: settings.callers, routerId }, 'router started');
 
+  let isClosed = false;
+  const close = async (): Promise<void> => {
+    if (isClosed) {
+      return;
+    }
+    isClosed = true;
+    [hosts, own, operator].forEach((feed) => feed?.stop());
+    clearInterval(ticks);
+    stopReports();
+    listing.stop();
+    reach.stop();
+    peers.stop();
+    callers.server.closeAllConnections();
+    await Promise.all([callers, ready, status, peerListener].map((server) => server.close()));
+    await Promise.all([pools.close(), client.close(), store.close()]);
+  };
   const stop = async (): Promise<void> => {
     const startedAtMs = performance.now();
     log.info({ running: pending.size }, 'router stopping');
@@ -214,15 +232,12 @@
       await shared.delay.wait(STOP_POLL_MS);
     }
     log.info({ cut: pending.size }, 'router stopped');
-    [hosts, own, operator].forEach((feed) => feed?.stop());
-    clearInterval(ticks);
-    stopReports();
-    reach.stop();
-    peers.stop();
     await Promise.race([closed, shared.delay.wait(STOP_POLL_MS)]);
+    await close();
   };
   return {
     stop,
+    close,
     reload: (changed) => {
       if (changed.platform.kind === 'managed') {
         const next = makeRelaySettings(changed.platform);
