feat(core): choose models and upstreams by crowding, pace and the time left

Cause: escalation did not know that the pool was out of room (head p99 7 s), and long answers went to slow upstreams on which they cannot end before their deadline (18 s for 1,000 tokens). Ruled out: the zone cut (the windows collapse 7 s before it).

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -58,6 +58,7 @@
             'series',
             'host',
             'standIn',
+            'upstream',
             'watched',
             'known',
           ],
--- a/packages-private/stand-ins/src/routedUpstream.ts
+++ b/packages-private/stand-ins/src/routedUpstream.ts
@@ -52,7 +52,7 @@
   response: http.ServerResponse,
 ) => void;
 
-const setSigned = (
+const writeSignature = (
   upstream: RoutedUpstream,
   received: Received,
   response: http.ServerResponse,
@@ -61,12 +61,12 @@
   response.setHeader(H.stamp, `stamp-of-${upstream.id}`);
 };
 
-const streamAnswer: Answerer = (upstream, received, response) => {
+const writeStream: Answerer = (upstream, received, response) => {
   const { behaviour } = upstream;
   if (behaviour.kind !== 'stream') {
     return;
   }
-  setSigned(upstream, received, response);
+  writeSignature(upstream, received, response);
   response.setHeader('content-type', 'text/event-stream');
   if (upstream.confidence !== null) {
     response.setHeader(H.confidence, String(upstream.confidence));
@@ -91,12 +91,12 @@
 const ANSWERERS: Readonly<Record<Behaviour['kind'], Answerer>> = {
   answer: (upstream, received, response) => {
     const { behaviour } = upstream;
-    setSigned(upstream, received, response);
+    writeSignature(upstream, received, response);
     if (behaviour.kind === 'answer') {
       response.writeHead(behaviour.status).end(behaviour.body);
     }
   },
-  stream: streamAnswer,
+  stream: writeStream,
   turnAway: (upstream, _, response) => {
     const status = upstream.behaviour.kind === 'turnAway' ? upstream.behaviour.status : 503;
     response.writeHead(status, { [H.notRun]: '1' }).end();
@@ -104,11 +104,11 @@
   reset: (_, __, response) => response.socket?.resetAndDestroy(),
   hang: () => undefined,
   foreign: (upstream, received, response) => {
-    setSigned(upstream, { ...received, id: 'another' }, response);
+    writeSignature(upstream, { ...received, id: 'another' }, response);
     response.end('not yours');
   },
   short: (upstream, received, response) => {
-    setSigned(upstream, received, response);
+    writeSignature(upstream, received, response);
     response.setHeader('content-length', '100');
     response.write('only a part');
     setTimeout(() => response.socket?.end(), EVENT_PAUSE_MS);
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -135,7 +135,13 @@
     readonly attemptId: number;
     readonly head: relayState.AnswerHead;
   };
-  readonly relayEnded: { readonly requestId: string; readonly attemptId: number };
+  readonly relayEnded: {
+    readonly requestId: string;
+    readonly attemptId: number;
+    /** Events of a stream, and the time from the first to the last, in milliseconds. */
+    readonly events: number;
+    readonly streamMs: number;
+  };
   readonly relayFailed: {
     readonly requestId: string;
     readonly attemptId: number;
--- a/packages/core/src/relay/modelChoice.ts
+++ b/packages/core/src/relay/modelChoice.ts
@@ -10,9 +10,15 @@
 /** Share of its worth that a poor answer still has. */
 const POOR_ANSWER_SHARE = 0.05;
 /** Confidence at which an answer is as likely good as poor. */
-const EVEN_CONFIDENCE = 45;
+const EVEN_CONFIDENCE = 50;
 /** Change of confidence that moves the odds of a good answer by a factor of e. */
-const CONFIDENCE_SCALE = 8;
+const CONFIDENCE_SCALE = 5.5;
+/** Chance of a poor answer that is accepted on top when requests wait for their whole target. */
+const CROWDING_TOLERANCE = 1;
+/** Largest chance of a poor answer accepted because of crowding. */
+const MAX_TOLERANCE = 0.85;
+/** Part of the time left that an answer's expected duration may take. */
+const MAX_DURATION_SHARE = 0.8;
 
 /** Estimates the chance that an answer is poor from the model's opinion of it. */
 export const estimatePoorChance = (confidence: number): number =>
@@ -46,22 +52,39 @@
   return (call.lastEventId === null ? sizes[0] : sizes.at(-1)) ?? null;
 };
 
-/** Picks the model that should replace an answer, or null when the answer is kept. */
+/** What the choice of a better model depends on beside the answer. */
+export interface PoolState {
+  /** Share of their target latency that requests wait for the head. */
+  readonly crowding: number;
+  /** Time that an answer of the largest model is expected to take, in milliseconds. */
+  readonly largestMs: number;
+  /** Time left for the answer, in milliseconds. */
+  readonly leftMs: number;
+}
+
+/**
+ * Picks the model that should replace an answer, or null when the answer is kept. A crowded pool
+ * keeps more doubtful answers, since each larger one delays all others.
+ */
 export const pickBetterModel = (
   view: routeView.RouteView,
   service: string,
   relay: relayState.RelayState,
   confidence: number | null,
+  pool: PoolState,
 ): string | null => {
   const largest = relay.route.sizes.at(-1);
   if (
     confidence === null ||
     relay.call.model !== '*' ||
     largest === undefined ||
-    largest === relay.model
+    largest === relay.model ||
+    pool.largestMs > pool.leftMs * MAX_DURATION_SHARE
   ) {
     return null;
   }
-  const gain = estimatePoorChance(confidence) * estimateValue(relay.call) * (1 - POOR_ANSWER_SHARE);
-  return gain > estimatePrice(view, service, largest, relay.call) ? largest : null;
+  const value = estimateValue(relay.call) * (1 - POOR_ANSWER_SHARE);
+  const tolerance = Math.min(MAX_TOLERANCE, pool.crowding * CROWDING_TOLERANCE);
+  const wanted = estimatePrice(view, service, largest, relay.call) / value + tolerance;
+  return estimatePoorChance(confidence) > wanted ? largest : null;
 };
--- a/packages/core/src/relay/relayAnswers.ts
+++ b/packages/core/src/relay/relayAnswers.ts
@@ -1,3 +1,4 @@
+import * as average from '../average.js';
 import * as dispatch from '../dispatch.js';
 import type * as effects from '../effects.js';
 import type * as events from '../events.js';
@@ -12,6 +13,7 @@
 import * as modelChoice from './modelChoice.js';
 import * as prefixMemory from './prefixMemory.js';
 import * as relayContext from './relayContext.js';
+import * as relayPlacement from './relayPlacement.js';
 import * as relayRetry from './relayRetry.js';
 import * as relayState from './relayState.js';
 import * as versionTrial from './versionTrial.js';
@@ -65,18 +67,35 @@
 ): routerState.RouterState => {
   const units = 1 + attempt.prefillTokens / TOKENS_PER_UNIT;
   const unitMs = (nowMs - attempt.startedAtMs) / units;
-  const typicalMs = relayContext.getHeadTime(current.relay, request.service, relay.model);
+  const typicalMs = relayContext.getTypicalMs(
+    current.relay,
+    'headTimes',
+    request.service,
+    relay.model,
+  );
   const slowness = typicalMs === null ? 1 : unitMs / Math.max(1, typicalMs);
-  const context = relayContext.recordHeadTime(current.relay, request.service, relay.model, unitMs);
+  const context = relayContext.recordTypical(
+    current.relay,
+    'headTimes',
+    request.service,
+    relay.model,
+    unitMs,
+  );
+  const elapsedMs = nowMs - attempt.startedAtMs;
+  const crowded = relayContext.recordCrowding(
+    context,
+    request.service,
+    elapsedMs / relay.route.targetLatencyMs,
+  );
   const parts = prefixMemory.recordParts(
-    context.parts,
+    crowded.parts,
     attempt.upstreamId,
     relay.model,
     relay.call,
     nowMs,
   );
   const timed = routerState.updateUpstream(
-    { ...current, relay: { ...context, parts } },
+    { ...current, relay: { ...crowded, parts } },
     attempt.upstreamId,
     (known) => upstreamState.recordFirstToken(known, slowness, nowMs),
   );
@@ -115,6 +134,19 @@
   );
 };
 
+const describePool = (
+  current: routerState.RouterState,
+  { request, relay }: Located,
+  nowMs: number,
+): modelChoice.PoolState => {
+  const largest = relay.route.sizes.at(-1) ?? null;
+  return {
+    crowding: relayContext.getCrowding(current.relay, request.service),
+    largestMs: relayPlacement.estimateStreamMs(current, request.service, largest, relay.call),
+    leftMs: request.deadlineAtMs - nowMs,
+  };
+};
+
 const describeDecision = (
   { request, relay, attempt }: Located,
   event: events.EventOf<'relayHeadArrived'>,
@@ -155,7 +187,13 @@
   const better =
     view === null || !isFirstPiece
       ? null
-      : modelChoice.pickBetterModel(view, request.service, relay, event.head.confidence);
+      : modelChoice.pickBetterModel(
+          view,
+          request.service,
+          relay,
+          event.head.confidence,
+          describePool(timed, located, event.nowMs),
+        );
   const replaced = better === null ? null : relayRetry.replaceModel(timed, located, better, event);
   const decided = replaced ?? relayHead(timed, located);
   return event.head.confidence === null
@@ -165,6 +203,46 @@
       );
 };
 
+/** Weight of one stream in an upstream's relative pace. */
+const PACE_WEIGHT = 0.2;
+
+/** Learns how fast an upstream's streams go on, relative to others of the same model. */
+const recordPace = (
+  current: routerState.RouterState,
+  { request, relay, attempt }: Located,
+  event: events.EventOf<'relayEnded'>,
+): routerState.RouterState => {
+  if (event.events < 2) {
+    return current;
+  }
+  const eventMs = Math.max(0.1, event.streamMs / (event.events - 1));
+  const typicalMs = relayContext.getTypicalMs(
+    current.relay,
+    'eventTimes',
+    request.service,
+    relay.model,
+  );
+  const context = relayContext.recordTypical(
+    current.relay,
+    'eventTimes',
+    request.service,
+    relay.model,
+    eventMs,
+  );
+  return routerState.updateUpstream(
+    { ...current, relay: context },
+    attempt.upstreamId,
+    (known) => ({
+      ...known,
+      eventSlowness: average.updateAverage(
+        known.eventSlowness,
+        typicalMs === null ? 1 : eventMs / typicalMs,
+        PACE_WEIGHT,
+      ),
+    }),
+  );
+};
+
 const handleEnded = (
   current: routerState.RouterState,
   event: events.EventOf<'relayEnded'>,
@@ -174,7 +252,8 @@
     return step.makeStep(current);
   }
   const { request, attempt } = located;
-  const freed = slots.releaseAttempt(current, request.id, attempt, event.nowMs);
+  const paced = recordPace(current, located, event);
+  const freed = slots.releaseAttempt(paced, request.id, attempt, event.nowMs);
   const timed = routerState.updateLane(freed, request.service, event.nowMs, (lane) =>
     laneState.recordFinished(
       lane,
--- a/packages/core/src/relay/relayContext.ts
+++ b/packages/core/src/relay/relayContext.ts
@@ -25,6 +25,10 @@
   readonly trials: immutable.Map<string, versionTrial.VersionTrial>;
   /** Typical time to the head of an answer for one unit of work, by service and model. */
   readonly headTimes: immutable.Map<string, average.Average>;
+  /** Typical time between two events of a stream, by service and model. */
+  readonly eventTimes: immutable.Map<string, average.Average>;
+  /** Time to a head relative to the route's target, by service; near 1 the pool is out of room. */
+  readonly crowding: immutable.Map<string, average.Average>;
   /** Last use of prompt parts, by upstream, model and part. */
   readonly parts: immutable.Map<string, number>;
 }
@@ -43,6 +47,8 @@
   windows: immutable.Map(),
   trials: immutable.Map(),
   headTimes: immutable.Map(),
+  eventTimes: immutable.Map(),
+  crowding: immutable.Map(),
   parts: immutable.Map(),
 });
 
@@ -50,27 +56,53 @@
 export const getWindow = (context: RelayContext, service: string): sendBudget.SendWindow =>
   context.windows.get(service) ?? sendBudget.EMPTY_WINDOW;
 
-/** Weight of one sample in the typical time to the head of an answer. */
-const HEAD_TIME_WEIGHT = 0.05;
+/** Weight of one sample in a typical time. */
+const TYPICAL_WEIGHT = 0.05;
 
-/** Returns the typical time to a head for one unit of work, or null before the first. */
-export const getHeadTime = (
+type Typical = 'headTimes' | 'eventTimes';
+
+/** Weight of one head in a service's crowding; a few seconds of traffic decide. */
+const CROWDING_WEIGHT = 0.06;
+
+/** Returns how much of their target latency requests of a service wait for the head. */
+export const getCrowding = (context: RelayContext, service: string): number =>
+  context.crowding.get(service)?.value ?? 0;
+
+/** Records the time to one head, relative to its route's target. */
+export const recordCrowding = (
+  context: RelayContext,
+  service: string,
+  share: number,
+): RelayContext => ({
+  ...context,
+  crowding: context.crowding.set(
+    service,
+    average.updateAverage(
+      context.crowding.get(service) ?? average.EMPTY_AVERAGE,
+      share,
+      CROWDING_WEIGHT,
+    ),
+  ),
+});
+
+/** Returns a typical time of a service's model, or null before the first. */
+export const getTypicalMs = (
   context: RelayContext,
+  kind: Typical,
   service: string,
   model: string | null,
-): number | null => context.headTimes.get(`${service}|${model ?? ''}`)?.value ?? null;
+): number | null => context[kind].get(`${service}|${model ?? ''}`)?.value ?? null;
 
-/** Records the time to a head for one unit of work. */
-export const recordHeadTime = (
+/** Records a sample of a typical time. */
+export const recordTypical = (
   context: RelayContext,
+  kind: Typical,
   service: string,
   model: string | null,
-  unitMs: number,
+  sampleMs: number,
 ): RelayContext => {
   const key = `${service}|${model ?? ''}`;
-  const known = context.headTimes.get(key) ?? average.EMPTY_AVERAGE;
-  return {
-    ...context,
-    headTimes: context.headTimes.set(key, average.updateAverage(known, unitMs, HEAD_TIME_WEIGHT)),
-  };
+  const known = context[kind].get(key) ?? average.EMPTY_AVERAGE;
+  const next = average.updateAverage(known, sampleMs, TYPICAL_WEIGHT);
+  return { ...context, [kind]: context[kind].set(key, next) };
 };
--- a/packages/core/src/relay/relayPlacement.ts
+++ b/packages/core/src/relay/relayPlacement.ts
@@ -3,7 +3,8 @@
 import type * as routerState from '../routerState.js';
 import * as upstreamState from '../upstreamState.js';
 import * as prefixMemory from './prefixMemory.js';
-import type * as relayState from './relayState.js';
+import * as relayContext from './relayContext.js';
+import * as relayState from './relayState.js';
 import * as versionTrial from './versionTrial.js';
 
 /** What a routed request needs of an upstream. */
@@ -22,6 +23,10 @@
 const ZONE_PENALTY = 0.15;
 /** Score of reading a thousand shared tokens again, in units of a full upstream. */
 const REREAD_PENALTY = 0.02;
+/** Score of a stream that is expected to take all the time it has. */
+const DURATION_PENALTY = 1;
+/** Time between events assumed before any stream was seen, in milliseconds. */
+const DEFAULT_EVENT_MS = 20;
 /** Shared tokens from which all routers prefer one upstream for a subject. */
 const MIN_SUBJECT_TOKENS = 1_000;
 /** Requests that an upstream without batches may hold beyond its slots. */
@@ -32,6 +37,27 @@
 const MIN_SLOWNESS = 0.3;
 const MAX_SLOWNESS = 8;
 
+/** A query with what is the same for all upstreams. */
+interface ScoredQuery extends RelayQuery {
+  /** Time a stream of the wanted model takes on an upstream of usual pace, in milliseconds. */
+  readonly streamMs: number;
+}
+
+/** Estimates how long the events of an answer take on an upstream of usual pace. */
+export const estimateStreamMs = (
+  current: routerState.RouterState,
+  service: string,
+  model: string | null,
+  call: relayState.RelayCall,
+): number => {
+  const perEvent = current.relay.view?.services.get(service)?.engine?.tokensPerEvent;
+  if (perEvent === undefined || call.tokensIn === 0) {
+    return 0;
+  }
+  const eventMs = relayContext.getTypicalMs(current.relay, 'eventTimes', service, model);
+  return (relayState.estimateTokensOut(call) / perEvent) * (eventMs ?? DEFAULT_EVENT_MS);
+};
+
 const isEngine = (current: routerState.RouterState, service: string): boolean =>
   (current.relay.view?.services.get(service)?.engine ?? null) !== null;
 
@@ -119,7 +145,7 @@
 const computeScore = (
   current: routerState.RouterState,
   upstream: upstreamState.UpstreamState,
-  query: RelayQuery,
+  query: ScoredQuery,
   home: string | null,
 ): number => {
   const { relay, nowMs } = query;
@@ -141,13 +167,16 @@
     (Math.max(0, unread - (relay.call.tokensIn - sharedTokens)) / 1_000) * REREAD_PENALTY;
   const zone = upstream.host.zone === current.self.zone ? 0 : ZONE_PENALTY;
   const spread = shared.hash.hashToFraction(`${query.random}|${upstream.host.id}`) * SPREAD;
-  return (load + reading) * getSlowness(upstream, nowMs) + reread + zone + spread;
+  const pace = upstream.eventSlowness.count === 0 ? 1 : upstream.eventSlowness.value;
+  const leftMs = Math.max(1, query.request.deadlineAtMs - nowMs);
+  const duration = (query.streamMs * pace * DURATION_PENALTY) / leftMs;
+  return (load + reading) * getSlowness(upstream, nowMs) + duration + reread + zone + spread;
 };
 
 const pickBest = (
   current: routerState.RouterState,
   pool: readonly upstreamState.UpstreamState[],
-  query: RelayQuery,
+  query: ScoredQuery,
   home: string | null,
 ): string | null => {
   let best: { readonly id: string; readonly score: number } | null = null;
@@ -184,5 +213,7 @@
   const home = findHome(upstreams, query.relay.call);
   const isLastResort =
     healthy.length === 0 && upstreams.every((one) => one.health !== 'ok' || !one.isReachable);
-  return pickBest(current, isLastResort ? usable : healthy, query, home);
+  const { service } = query.request;
+  const streamMs = estimateStreamMs(current, service, query.relay.model, query.relay.call);
+  return pickBest(current, isLastResort ? usable : healthy, { ...query, streamMs }, home);
 };
--- a/packages/core/src/relay/relaySend.ts
+++ b/packages/core/src/relay/relaySend.ts
@@ -8,6 +8,8 @@
 
 /** Multiple of the target latency after which an unanswered upstream counts as silent. */
 const HEAD_TIMEOUT_SHARE = 2.5;
+/** Multiple of the usual wait that is left to an upstream, so that a crowded pool is not sent more. */
+const CROWDED_TIMEOUT_SHARE = 6;
 /** Multiple of the longest pause wanted after which a stream counts as silent. */
 const GAP_TIMEOUT_SHARE = 2.2;
 /** Longest pause assumed of a stream whose route names none, in milliseconds. */
@@ -32,6 +34,7 @@
 
 /** Describes what a send tells the upstream; null for requests that are not routed. */
 export const makeSend = (
+  current: routerState.RouterState,
   request: requestState.RequestState,
   host: shared.hosts.Host,
   nowMs: number,
@@ -41,12 +44,14 @@
     return null;
   }
   const { route, call } = relay;
+  const crowding = relayContext.getCrowding(current.relay, request.service);
+  const patience = Math.max(HEAD_TIMEOUT_SHARE, crowding * CROWDED_TIMEOUT_SHARE);
   return {
     model: call.model === relay.model ? null : relay.model,
     rank: relay.rank,
     organisation: route.isPublic ? null : request.customer,
     timeLeftMs: Math.max(1, Math.floor(request.deadlineAtMs - nowMs)),
-    headTimeoutMs: request.isRepeatable ? route.targetLatencyMs * HEAD_TIMEOUT_SHARE : Infinity,
+    headTimeoutMs: request.isRepeatable ? route.targetLatencyMs * patience : Infinity,
     gapTimeoutMs: (route.gapTargetMs ?? DEFAULT_GAP_MS) * GAP_TIMEOUT_SHARE,
     isStream: route.kind === 'streaming',
     host,
--- a/packages/core/src/upstreamState.ts
+++ b/packages/core/src/upstreamState.ts
@@ -31,6 +31,8 @@
   readonly limitCutAtMs: number;
   /** First-token time relative to the service's typical one. */
   readonly slowness: average.Average;
+  /** Time between the events of whole streams, relative to the model's usual one. */
+  readonly eventSlowness: average.Average;
   /** Last relative time between tokens, and when it was seen. */
   readonly pace: number;
   readonly paceAtMs: number;
@@ -80,6 +82,7 @@
   limit: DEFAULT_SLOTS,
   limitCutAtMs: 0,
   slowness: average.EMPTY_AVERAGE,
+  eventSlowness: average.EMPTY_AVERAGE,
   pace: 1,
   paceAtMs: 0,
   failuresInRow: 0,
--- a/packages/router/src/relay/relayAttempt.ts
+++ b/packages/router/src/relay/relayAttempt.ts
@@ -18,7 +18,7 @@
 /** What a send tells the router. */
 export interface RelayListener {
   readonly handleHead: (head: core.relayState.AnswerHead) => void;
-  readonly handleEnd: () => void;
+  readonly handleEnd: (stream: StreamSummary) => void;
   readonly handleFailure: (failure: RelayFailure) => void;
   /** Any byte of an answer. */
   readonly handleHeard: () => void;
@@ -27,6 +27,13 @@
   readonly handleLoad: (report: NonNullable<platform.answerHeaders.AnswerHeaders['load']>) => void;
 }
 
+/** How a stream went. */
+export interface StreamSummary {
+  readonly events: number;
+  /** Time from the first event to the last, in milliseconds. */
+  readonly streamMs: number;
+}
+
 /** How a send failed. */
 export interface RelayFailure {
   readonly failure: core.events.RelayFailure;
@@ -81,6 +88,9 @@
   let head: { status: number; headers: platform.callHeaders.ParsedHeaders } | null = null;
   let held: Buffer[] = [];
   let heldBytes = 0;
+  let eventCount = 0;
+  let firstEventAtMs = 0;
+  let lastEventAtMs = 0;
   let timer: NodeJS.Timeout | null = null;
 
   const endSend = (): void => {
@@ -133,6 +143,9 @@
         return;
       }
       if (event.id === null || last === null || event.id > last) {
+        lastEventAtMs = performance.now();
+        firstEventAtMs = eventCount === 0 ? lastEventAtMs : firstEventAtMs;
+        eventCount += 1;
         pending.lastEventId = event.id ?? last;
         writeEvent(event.bytes);
       }
@@ -233,7 +246,7 @@
       }
     }
     endSend();
-    listener.handleEnd();
+    listener.handleEnd({ events: eventCount, streamMs: lastEventAtMs - firstEventAtMs });
   };
   const handleError = (error: Error): void => {
     if (isOver || isCancelled) {
--- a/packages/router/src/relay/relayRunners.ts
+++ b/packages/router/src/relay/relayRunners.ts
@@ -50,9 +50,9 @@
         pending.upstreamId = upstreamId;
         context.node.dispatch({ type: 'relayHeadArrived', requestId, attemptId, head });
       },
-      handleEnd: () => {
+      handleEnd: (stream) => {
         pending.attempts.delete(attemptId);
-        context.node.dispatch({ type: 'relayEnded', requestId, attemptId });
+        context.node.dispatch({ type: 'relayEnded', requestId, attemptId, ...stream });
       },
       handleFailure: ({ failure, isUnsent, isNotRun, reason }) => {
         pending.attempts.delete(attemptId);
