fix(router): an answer that ends with a reset is not whole

Ruled out: the length check (such answers have none). A connector of our own notices the reset first. Test: 'an answer without a length…' failed before (200 with a short body), passes now.

--- a/packages-private/stand-ins/src/routedUpstream.ts
+++ b/packages-private/stand-ins/src/routedUpstream.ts
@@ -23,6 +23,8 @@
   | { readonly kind: 'hang' }
   | { readonly kind: 'foreign' }
   | { readonly kind: 'short' }
+  /** An answer without a length that ends with its connection, whole or by a reset. */
+  | { readonly kind: 'unframed'; readonly isCut: boolean }
   | { readonly kind: 'unsigned' };
 
 /** A stand-in of an upstream behind routes. */
@@ -113,6 +115,21 @@
     response.write('only a part');
     setTimeout(() => response.socket?.end(), EVENT_PAUSE_MS);
   },
+  unframed: (upstream, received, response) => {
+    const { behaviour, id } = upstream;
+    const isCut = behaviour.kind === 'unframed' && behaviour.isCut;
+    const { socket } = response;
+    socket?.write(
+      `HTTP/1.1 200 OK\r\n${H.requestId}: ${received.id}\r\n${H.stamp}: of-${id}\r\n\r\nfirst part`,
+    );
+    setTimeout(() => {
+      if (isCut) {
+        socket?.resetAndDestroy();
+      } else {
+        socket?.end(', second part');
+      }
+    }, EVENT_PAUSE_MS * 4);
+  },
   unsigned: (_, received, response) => {
     response.setHeader(H.requestId, received.id);
     response.end('unsigned');
--- a/packages/router/src/relay/relayAttempt.ts
+++ b/packages/router/src/relay/relayAttempt.ts
@@ -233,6 +233,10 @@
     if (isOver || head === null) {
       return;
     }
+    if (pools.isResetting()) {
+      failSent('broken', 'the answer ends with a reset');
+      return;
+    }
     if (send.isStream && isSuccess(head.status)) {
       if (splitter.countRest() > 0) {
         failSent('garbage', 'the answer ends within an event');
