fix(router): an empty wait confirms the table at its end, not at its start

The store answers a wait without changes only when its time has passed, so the table was the newest then. Ruled out: the bound itself (5 s).

--- a/packages/router/src/relay/prefixFeed.ts
+++ b/packages/router/src/relay/prefixFeed.ts
@@ -113,7 +113,9 @@
       revision = Math.max(revision ?? 0, waited.value.revision);
       waited.value.changes.forEach(listener.handleChange);
       if (reading !== undefined) {
-        clock?.confirm(reading);
+        // The store answers a wait without changes only when its time has passed.
+        const isEmpty = waited.value.changes.length === 0;
+        clock?.confirm(reading, isEmpty ? waitMs : 0);
       }
     } else if (waited.error === 'compacted') {
       log.info({ prefix, after }, 'history is gone, reading anew');
--- a/packages/router/src/relay/startRelay.ts
+++ b/packages/router/src/relay/startRelay.ts
@@ -29,7 +29,7 @@
 /** Time after which a wait for this product's own keys begins anew, in milliseconds. */
 const OWN_WAIT_MS = 10_000;
 /** Part of the bound on withdrawn keys up to which a confirmation counts. */
-const KEY_AGE_SHARE = 0.75;
+const KEY_AGE_SHARE = 0.78;
 /** Part of the bound from which the balancer is asked to send callers elsewhere. */
 const READY_AGE_SHARE = 0.7;
 /** Time in which the balancer takes a stopping router out, in milliseconds. */
--- a/packages/router/src/relay/viewClock.ts
+++ b/packages/router/src/relay/viewClock.ts
@@ -2,8 +2,8 @@
 export interface ViewClock {
   /** Reads both clocks; to be called before the question whose answer confirms. */
   readonly take: () => ClockReading;
-  /** Records that what was read at a moment was the newest then. */
-  readonly confirm: (reading: ClockReading) => void;
+  /** Records that what is known was the newest at a moment, or a time after it. */
+  readonly confirm: (reading: ClockReading, laterMs?: number) => void;
   /** Age of the last confirmation, in milliseconds; infinite before the first. */
   readonly getAgeMs: () => number;
 }
@@ -28,9 +28,14 @@
   let last: ClockReading | null = null;
   return {
     take: read,
-    confirm: (reading) => {
-      if (last === null || reading.steadyMs > last.steadyMs) {
-        last = reading;
+    confirm: (reading, laterMs = 0) => {
+      const passedMs = Math.min(laterMs, read().steadyMs - reading.steadyMs);
+      const moment = {
+        steadyMs: reading.steadyMs + passedMs,
+        wallMs: reading.wallMs + passedMs,
+      };
+      if (last === null || moment.steadyMs > last.steadyMs) {
+        last = moment;
       }
     },
     getAgeMs: () => {
