test(core): routed requests and roll-outs in virtual time, decoding and clocks as properties

The property of work that may not be repeated found a refusal 'not run' after a send that may have run (a turned-away answer without proof, which the shell never makes): its code is now 'upstreamFailed'.

--- /dev/null
+++ b/packages/core/__tests__/relay.spec.ts
@@ -0,0 +1,272 @@
+import test from 'ava';
+import * as fc from 'fast-check';
+import * as core from '../src/index.js';
+import * as fixtures from './fixtures.js';
+import * as relayFixtures from './relayFixtures.js';
+
+const listStarts = (effects: readonly core.effects.Effect[]): readonly string[] =>
+  fixtures.pickEffects(effects, 'startAttempt').map((effect) => effect.upstreamId);
+
+const findRefusal = (effects: readonly core.effects.Effect[]): string | undefined =>
+  fixtures.pickEffects(effects, 'refuse')[0]?.code;
+
+test('the longest prefix of the host wins', (t) => {
+  const driver = relayFixtures.makeRelayDriver();
+  relayFixtures.sendCall(driver, 'a', { path: '/read/deep/x' });
+  t.is(driver.getState().requests.get('a')?.relay?.route.name, 'deep');
+  relayFixtures.sendCall(driver, 'b', { path: '/read/deeper' });
+  t.is(driver.getState().requests.get('b')?.relay?.route.name, 'read');
+});
+
+test('only a recent table denies; with an old one the caller is asked to come back', (t) => {
+  const driver = relayFixtures.makeRelayDriver();
+  const { maxDenyAgeMs, maxKeyAgeMs } = core.relayContext.DEFAULT_SETTINGS;
+  t.is(findRefusal(relayFixtures.sendCall(driver, 'a', { path: '/x/' })), 'noRoute');
+  t.is(findRefusal(relayFixtures.sendCall(driver, 'b', { key: 'x' })), 'unauthorized');
+  const old = maxDenyAgeMs + 1;
+  t.is(findRefusal(relayFixtures.sendCall(driver, 'c', { path: '/x/' }, old)), 'viewOutdated');
+  t.is(findRefusal(relayFixtures.sendCall(driver, 'd', { key: 'x' }, old)), 'viewOutdated');
+  t.is(findRefusal(relayFixtures.sendCall(driver, 'e', {}, maxKeyAgeMs + 1)), 'viewOutdated');
+  t.is(findRefusal(relayFixtures.sendCall(driver, 'f', {}, maxKeyAgeMs)), undefined);
+});
+
+test('no accepted key is older than the bound on withdrawn keys, whatever the clocks do', (t) => {
+  const boundMs = 5_000;
+  const settings = { ...core.relayContext.DEFAULT_SETTINGS, maxKeyAgeMs: boundMs * 0.78 };
+  fc.assert(
+    fc.property(
+      fc.integer({ min: 0, max: 20_000 }),
+      fc.integer({ min: 0, max: 20_000 }),
+      (confirmedAtMs, sinceMs) => {
+        const driver = relayFixtures.makeRelayDriver();
+        driver.send({ type: 'relaySettingsChanged', settings });
+        // The key is withdrawn right after the moment that the confirmation speaks of.
+        const askedAtMs = confirmedAtMs + sinceMs;
+        const effects = relayFixtures.sendCall(driver, 'a', {}, askedAtMs - confirmedAtMs);
+        return listStarts(effects).length === 0 || sinceMs <= boundMs;
+      },
+    ),
+    { seed: 7 },
+  );
+  t.pass();
+});
+
+test('work that may not be repeated is sent again only if it provably did not run', (t) => {
+  fc.assert(
+    fc.property(
+      fc.array(
+        fc.record({
+          failure: fc.constantFrom<core.events.RelayFailure>(
+            'unreachable',
+            'broken',
+            'silent',
+            'garbage',
+            'turnedAway',
+          ),
+          proof: fc.constantFrom('unsent', 'notRun', 'none'),
+        }),
+        { maxLength: 6 },
+      ),
+      (failures) => {
+        const driver = relayFixtures.makeRelayDriver();
+        let effects = relayFixtures.sendCall(driver, 'a', { path: '/issue/' });
+        let mayHaveRun = false;
+        for (const [index, { failure, proof }] of failures.entries()) {
+          if (listStarts(effects).length === 0) {
+            break;
+          }
+          mayHaveRun ||= proof === 'none';
+          effects = driver.send(
+            relayFixtures.makeFailure('a', index + 1, {
+              failure,
+              isUnsent: proof === 'unsent',
+              isNotRun: proof !== 'none',
+            }),
+          );
+          if (mayHaveRun && listStarts(effects).length > 0) {
+            return false;
+          }
+          const refusal = fixtures.pickEffects(effects, 'refuse')[0];
+          if (mayHaveRun && refusal?.code === 'overloaded') {
+            return false;
+          }
+        }
+        return true;
+      },
+    ),
+    { seed: 11 },
+  );
+  t.pass();
+});
+
+test('no request is sent to more upstreams than its route allows', (t) => {
+  const driver = relayFixtures.makeRelayDriver(['u1', 'u2', 'u3', 'u4', 'u5']);
+  let effects = relayFixtures.sendCall(driver, 'a');
+  let sends = 0;
+  while (listStarts(effects).length > 0) {
+    sends += 1;
+    effects = driver.send(relayFixtures.makeFailure('a', sends));
+  }
+  t.is(sends, 3);
+  t.is(findRefusal(effects), 'upstreamFailed');
+});
+
+test('a request that ran nowhere is refused as not run, with a pause within its time', (t) => {
+  const driver = relayFixtures.makeRelayDriver(['u1']);
+  relayFixtures.sendCall(driver, 'a', { deadlineMs: 900 });
+  const send = (id: number): readonly core.effects.Effect[] =>
+    driver.send(relayFixtures.makeFailure('a', id, { failure: 'turnedAway', isNotRun: true }));
+  const effects = [...send(1), ...send(2), ...send(3)];
+  const later = driver.send(
+    { type: 'timerFired', timer: { kind: 'queueDeadline', requestId: 'a' } },
+    800,
+  );
+  const refusal = fixtures.pickEffects([...effects, ...later], 'refuse')[0];
+  t.is(refusal?.code, 'overloaded');
+  t.true((refusal?.retryAfterMs ?? Infinity) <= 300);
+});
+
+test('repeatable work leaves an upstream that cannot be reached, the rest stays', (t) => {
+  const driver = relayFixtures.makeRelayDriver(['u1', 'u2']);
+  const [first = ''] = listStarts(relayFixtures.sendCall(driver, 'a'));
+  const unsafe = listStarts(relayFixtures.sendCall(driver, 'b', { path: '/issue/' }));
+  const effects = ['u1', 'u2']
+    .filter((id) => id === first)
+    .flatMap((upstreamId) =>
+      driver.send({ type: 'upstreamReached', upstreamId, isReachable: false }),
+    );
+  t.is(unsafe.length, 1);
+  const moved = fixtures.pickEffects(effects, 'startAttempt');
+  t.deepEqual(
+    moved.map((effect) => effect.requestId),
+    ['a'],
+  );
+  t.not(moved[0]?.upstreamId ?? '', first);
+  t.true(driver.getState().requests.has('b'));
+});
+
+test('a stream that has begun is cut off when its last upstream answers with a failure', (t) => {
+  const driver = relayFixtures.makeRelayDriver(['u1', 'u2', 'u3']);
+  relayFixtures.sendCall(driver, 'a', { path: '/talk/' });
+  const sendHead = (attemptId: number, status: number): readonly core.effects.Effect[] =>
+    driver.send({
+      type: 'relayHeadArrived',
+      requestId: 'a',
+      attemptId,
+      head: { status, confidence: null },
+    });
+  t.is(fixtures.pickEffects(sendHead(1, 200), 'relayAnswer').length, 1);
+  driver.send(relayFixtures.makeFailure('a', 1));
+  sendHead(2, 500);
+  const last = sendHead(3, 500);
+  t.is(fixtures.pickEffects(last, 'relayAnswer').length, 0);
+  t.is(findRefusal(last), 'answerIncomplete');
+});
+
+test('the rest of a stream stays with the version that began it during a roll-out', (t) => {
+  const driver = relayFixtures.makeRelayDriver(['old-1', 'old-2']);
+  ['new-1', 'new-2'].forEach((id) =>
+    driver.send({ type: 'hostChanged', host: relayFixtures.makeHost(id, { version: 'v2' }) }),
+  );
+  const ids = Array.from({ length: 30 }, (_, index) => `r${index}`);
+  ids.forEach((id) => {
+    relayFixtures.sendCall(driver, id, { path: '/talk/', session: id });
+  });
+  const begun = new Map(
+    ids.map((id) => [id, driver.getState().requests.get(id)?.attempts[0]?.upstreamId ?? '']),
+  );
+  ids.forEach((id) =>
+    driver.send({
+      type: 'relayHeadArrived',
+      requestId: id,
+      attemptId: 1,
+      head: { status: 200, confidence: null },
+    }),
+  );
+  const order = { service: 'desk', to: 'v2', periodMs: 20_000, revision: 3 };
+  driver.send({ type: 'trialSeen', order, stage: 'running', elapsedMs: 0 });
+  ids.forEach((id) => {
+    const [next] = listStarts(driver.send(relayFixtures.makeFailure(id, 1)));
+    if (next !== undefined) {
+      t.is(next.slice(0, 3), (begun.get(id) ?? '').slice(0, 3));
+    }
+  });
+});
+
+test('a doubtful answer is replaced, and a crowded pool keeps more of them', (t) => {
+  const countReplaced = (headMs: number): number => {
+    const driver = relayFixtures.makeRelayDriver(['u1', 'u2', 'u3', 'u4', 'u5', 'u6']);
+    let nowMs = 10;
+    const ids = Array.from({ length: 40 }, (_, index) => `r${index}`);
+    return ids.reduce((sum, id) => {
+      const call = { path: '/sized/', model: '*', tokensIn: 1_000, maxTokens: 20 };
+      relayFixtures.sendCall(driver, id, call, 0, nowMs);
+      nowMs += headMs;
+      const head = { status: 200, confidence: 45 };
+      const effects = driver.send(
+        { type: 'relayHeadArrived', requestId: id, attemptId: 1, head },
+        nowMs,
+      );
+      driver.send({ type: 'callerGone', requestId: id }, nowMs);
+      return sum + listStarts(effects).length;
+    }, 0);
+  };
+  const calm = countReplaced(50);
+  const crowded = countReplaced(900);
+  t.true(calm > 0);
+  t.true(crowded < calm / 2, `${crowded} of ${calm}`);
+});
+
+test('the sends that all routers repeat stay within the fleet’s budget in every window', (t) => {
+  const rule = { share: 0.9, slack: 58, windowMs: 10_000 };
+  fc.assert(
+    fc.property(
+      fc.array(fc.tuple(fc.boolean(), fc.integer({ min: 1, max: 400 })), { maxLength: 400 }),
+      (steps) => {
+        const routers = 9;
+        let window = core.sendBudget.EMPTY_WINDOW;
+        let nowMs = 0;
+        const sends: { readonly atMs: number; readonly isRepeat: boolean }[] = [];
+        steps.forEach(([isRepeat, pauseMs]) => {
+          nowMs += pauseMs;
+          if (!isRepeat || core.sendBudget.hasRepeatRoom(window, rule, routers, nowMs)) {
+            window = core.sendBudget.countSend(window, isRepeat, rule, nowMs);
+            sends.push({ atMs: nowMs, isRepeat });
+          }
+        });
+        return sends.every(({ atMs }) => {
+          const recent = sends.filter((one) => one.atMs <= atMs && one.atMs > atMs - rule.windowMs);
+          const repeats = recent.filter((one) => one.isRepeat).length;
+          // Firsts of the window before count as well, as the bound allows.
+          const firsts = sends.filter(
+            (one) => !one.isRepeat && one.atMs <= atMs && one.atMs > atMs - 2 * rule.windowMs,
+          ).length;
+          return repeats <= rule.share * firsts + rule.slack / routers;
+        });
+      },
+    ),
+    { seed: 5, numRuns: 60 },
+  );
+  t.pass();
+});
+
+test('all upstreams ejected or cut off are still tried before a request is given up', (t) => {
+  const driver = relayFixtures.makeRelayDriver(['u1', 'u2']);
+  ['u1', 'u2'].forEach((upstreamId) =>
+    driver.send({ type: 'upstreamReached', upstreamId, isReachable: false }),
+  );
+  t.is(listStarts(relayFixtures.sendCall(driver, 'a')).length, 1);
+});
+
+test('an upstream that leaves or comes back as another process gets no old work', (t) => {
+  const driver = relayFixtures.makeRelayDriver(['u1']);
+  driver.send({
+    type: 'hostChanged',
+    host: relayFixtures.makeHost('u1', { state: 'leaving' }),
+  });
+  t.is(findRefusal(relayFixtures.sendCall(driver, 'a')), 'noUpstream');
+  driver.send({ type: 'hostChanged', host: relayFixtures.makeHost('u1', { bornAtMs: 2 }) });
+  t.deepEqual(listStarts(relayFixtures.sendCall(driver, 'b')), ['u1']);
+  driver.send({ type: 'hostRemoved', hostId: 'u1' });
+  t.is(driver.getState().upstreams.get('u1')?.host.state, 'leaving');
+});
--- /dev/null
+++ b/packages/core/__tests__/versionTrial.spec.ts
@@ -0,0 +1,128 @@
+import test from 'ava';
+import * as prand from 'pure-rand';
+import * as core from '../src/index.js';
+
+const ORDER: core.versionTrial.VersionOrder = {
+  service: 'desk',
+  to: 'v2',
+  periodMs: 20_000,
+  revision: 1,
+};
+
+interface Load {
+  readonly seed: number;
+  /** Answers a second over all routers. */
+  readonly rate: number;
+  readonly oldFailures: number;
+  readonly newFailures: (atMs: number, kind: string) => number;
+  readonly slowness: (kind: string) => number;
+}
+
+interface Outcome {
+  readonly isBad: boolean;
+  readonly exposed: number;
+  readonly total: number;
+  readonly endedAtMs: number | null;
+}
+
+const KINDS = ['talk|small', 'talk|large', 'read|'] as const;
+
+/** Plays a roll-out under a load with the share of sessions that the trial allows. */
+const playTrial = (load: Load): Outcome => {
+  const random = prand.xoroshiro128plus(load.seed);
+  const draw = (): number => prand.unsafeUniformIntDistribution(0, 1_000_000, random) / 1_000_000;
+  let trial = core.versionTrial.makeTrial(ORDER, 'running', 0);
+  let exposed = 0;
+  let total = 0;
+  const stepMs = 1_000 / load.rate;
+  for (let nowMs = 0; nowMs < ORDER.periodMs; nowMs += stepMs) {
+    const isNew = draw() < core.versionTrial.getShare(trial, nowMs);
+    const kind = KINDS[Math.floor(draw() * KINDS.length)] ?? KINDS[0];
+    total += 1;
+    exposed += Number(isNew);
+    const hasFailed = draw() < (isNew ? load.newFailures(nowMs, kind) : load.oldFailures);
+    const noise = Math.exp((draw() + draw() + draw() - 1.5) * 1.6);
+    const elapsedMs = hasFailed ? null : 60 * noise * (isNew ? load.slowness(kind) : 1);
+    trial = core.versionTrial.countAnswer(trial, 'r1', { kind, isNew, elapsedMs }, nowMs);
+    trial = core.versionTrial.judgeTrial(trial);
+    const end = core.versionTrial.judgeEnd(trial, 0, nowMs);
+    if (end !== null) {
+      return { isBad: end === 'rolledBack', exposed, total, endedAtMs: nowMs };
+    }
+  }
+  return { isBad: trial.isBad, exposed, total, endedAtMs: null };
+};
+
+const SEEDS = Array.from({ length: 100 }, (_, index) => index + 1);
+
+const GOOD: Omit<Load, 'seed'> = {
+  rate: 60,
+  oldFailures: 0.05,
+  newFailures: () => 0.05,
+  slowness: () => 1,
+};
+
+test('a good version is brought in within its period, with at most one false alarm in a hundred', (t) => {
+  const outcomes = SEEDS.map((seed) => playTrial({ ...GOOD, seed }));
+  t.true(outcomes.filter((outcome) => outcome.isBad).length <= 1);
+  outcomes
+    .filter((outcome) => !outcome.isBad)
+    .forEach((outcome) => t.true((outcome.endedAtMs ?? Infinity) < ORDER.periodMs));
+});
+
+const BAD: readonly (readonly [string, Omit<Load, 'seed'>])[] = [
+  ['fails at once', { ...GOOD, newFailures: () => 0.4 }],
+  ['fails late', { ...GOOD, newFailures: (atMs) => (atMs > 11_000 ? 0.5 : 0.05) }],
+  ['fails on one route', { ...GOOD, newFailures: (_, kind) => (kind === 'read|' ? 0.6 : 0.05) }],
+  ['is slow', { ...GOOD, slowness: () => 8 }],
+  ['is slow on one route', { ...GOOD, slowness: (kind) => (kind === 'read|' ? 8 : 1) }],
+];
+
+// The share is the users' stated bound: 0.15 of the period's requests and 30 on top.
+const EXPOSURE_SHARE = 0.15;
+const EXPOSURE_SLACK = 30;
+
+BAD.forEach(([name, load]) => {
+  test(`a version that ${name} is rolled back within the exposure allowed`, (t) => {
+    SEEDS.slice(0, 30).forEach((seed) => {
+      const outcome = playTrial({ ...load, seed });
+      t.true(outcome.isBad, `seed ${seed}`);
+      const all = (load.rate * ORDER.periodMs) / 1_000;
+      t.true(outcome.exposed <= EXPOSURE_SHARE * all + EXPOSURE_SLACK, `seed ${seed}`);
+    });
+  });
+});
+
+test('sessions keep their version in the first half and never go back from a good one', (t) => {
+  const trial = core.versionTrial.makeTrial(ORDER, 'running', 0);
+  const shares = Array.from({ length: 200 }, (_, index) =>
+    core.versionTrial.getShare(trial, (index * ORDER.periodMs) / 200),
+  );
+  const half = shares.slice(0, 100);
+  t.is(new Set(half).size, 1);
+  shares.forEach((share, index) => t.true(share >= (shares[index - 1] ?? 0)));
+  t.is(shares.at(-1), 1);
+});
+
+test('evidence of peers counts once, however often it is told', (t) => {
+  const own = core.versionTrial.makeTrial(ORDER, 'running', 0);
+  const told = core.versionTrial.countAnswer(
+    own,
+    'r2',
+    { kind: 'read|', isNew: true, elapsedMs: null },
+    500,
+  );
+  const rows = core.versionTrial.listRecentRows(told, 'r2', 3, 500);
+  const once = core.versionTrial.mergeReport(own, 'r2', rows, 0, 600);
+  const twice = core.versionTrial.mergeReport(once, 'r2', rows, 0, 700);
+  t.true(twice.rows.equals(once.rows));
+});
+
+test('old versions may stop only once no router runs work on them, or the period ends', (t) => {
+  const trial = core.versionTrial.makeTrial(ORDER, 'running', 0);
+  const busy = core.versionTrial.mergeReport(trial, 'r2', [], 3, 16_000);
+  t.is(core.versionTrial.judgeEnd(busy, 0, 16_500), null);
+  t.is(core.versionTrial.judgeEnd(trial, 2, 16_500), null);
+  t.is(core.versionTrial.judgeEnd(trial, 0, 16_500), 'completed');
+  t.is(core.versionTrial.judgeEnd(busy, 2, 19_000), 'completed');
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -20,6 +20,7 @@
 export * as requestState from './requestState.js';
 export * as rollouts from './rollouts.js';
 export * as routerState from './routerState.js';
+export * as sendBudget from './relay/sendBudget.js';
 export * as sequentialTest from './sequentialTest.js';
 export * as step from './step.js';
 export * as trialEvidence from './relay/trialEvidence.js';
--- a/packages/core/src/relay/relayRetry.ts
+++ b/packages/core/src/relay/relayRetry.ts
@@ -188,8 +188,9 @@
   broken: 'upstreamFailed',
   silent: 'deadlineExceeded',
   garbage: 'upstreamGarbage',
-  turnedAway: 'overloaded',
-  misdirected: 'overloaded',
+  // Told only if an earlier send may have run; else the request is refused as not run.
+  turnedAway: 'upstreamFailed',
+  misdirected: 'upstreamFailed',
 };
 
 const recoverRequest = (
