--- a/packages-private/measure/__tests__/routed.spec.ts
+++ b/packages-private/measure/__tests__/routed.spec.ts
@@ -113,13 +113,16 @@
 test('an answer without a length is whole when its connection ends, not when it is reset', async (t) => {
   const site = await routedSite.startRoutedSite('127.0.20.16');
   const call = { path: '/issue/', method: 'POST', body: 'b' };
-  setBehaviour(site, { kind: 'unframed', isCut: false });
+  setBehaviour(site, { kind: 'unframed', cut: 'no' });
   const whole = await site.call({ ...call, id: 'q1' });
   t.is(whole.status, 200);
   t.is(whole.body, 'first part, second part');
-  setBehaviour(site, { kind: 'unframed', isCut: true });
+  setBehaviour(site, { kind: 'unframed', cut: 'later' });
   t.is((await site.call({ ...call, id: 'q2' })).status, 502);
   t.is(listReceived(site, 'q2').length, 1);
+  setBehaviour(site, { kind: 'unframed', cut: 'atOnce' });
+  t.is((await site.call({ ...call, id: 'q3' })).status, 502);
+  t.is(listReceived(site, 'q3').length, 1);
   await site.close();
 });
 
--- a/packages-private/stand-ins/src/routedUpstream.ts
+++ b/packages-private/stand-ins/src/routedUpstream.ts
@@ -24,7 +24,7 @@
   | { readonly kind: 'foreign' }
   | { readonly kind: 'short' }
   /** An answer without a length that ends with its connection, whole or by a reset. */
-  | { readonly kind: 'unframed'; readonly isCut: boolean }
+  | { readonly kind: 'unframed'; readonly cut: 'no' | 'atOnce' | 'later' }
   | { readonly kind: 'unsigned' };
 
 /** A stand-in of an upstream behind routes. */
@@ -117,13 +117,17 @@
   },
   unframed: (upstream, received, response) => {
     const { behaviour, id } = upstream;
-    const isCut = behaviour.kind === 'unframed' && behaviour.isCut;
+    const cut = behaviour.kind === 'unframed' ? behaviour.cut : 'no';
     const { socket } = response;
     socket?.write(
       `HTTP/1.1 200 OK\r\n${H.requestId}: ${received.id}\r\n${H.stamp}: of-${id}\r\n\r\nfirst part`,
     );
+    if (cut === 'atOnce') {
+      socket?.resetAndDestroy();
+      return;
+    }
     setTimeout(() => {
-      if (isCut) {
+      if (cut === 'later') {
         socket?.resetAndDestroy();
       } else {
         socket?.end(', second part');
--- a/packages/core/__tests__/versionTrial.spec.ts
+++ b/packages/core/__tests__/versionTrial.spec.ts
@@ -28,7 +28,7 @@
 const KINDS = ['talk|small', 'talk|large', 'read|'] as const;
 
 /** Plays a roll-out under a load with the share of sessions that the trial allows. */
-const playTrial = (load: Load): Outcome => {
+const simulateTrial = (load: Load): Outcome => {
   const random = prand.xoroshiro128plus(load.seed);
   const draw = (): number => prand.unsafeUniformIntDistribution(0, 1_000_000, random) / 1_000_000;
   let trial = core.versionTrial.makeTrial(ORDER, 'running', 0);
@@ -63,7 +63,7 @@
 };
 
 test('a good version is brought in within its period, with at most one false alarm in a hundred', (t) => {
-  const outcomes = SEEDS.map((seed) => playTrial({ ...GOOD, seed }));
+  const outcomes = SEEDS.map((seed) => simulateTrial({ ...GOOD, seed }));
   t.true(outcomes.filter((outcome) => outcome.isBad).length <= 1);
   outcomes
     .filter((outcome) => !outcome.isBad)
@@ -85,7 +85,7 @@
 BAD.forEach(([name, load]) => {
   test(`a version that ${name} is rolled back within the exposure allowed`, (t) => {
     SEEDS.slice(0, 30).forEach((seed) => {
-      const outcome = playTrial({ ...load, seed });
+      const outcome = simulateTrial({ ...load, seed });
       t.true(outcome.isBad, `seed ${seed}`);
       const all = (load.rate * ORDER.periodMs) / 1_000;
       t.true(outcome.exposed <= EXPOSURE_SHARE * all + EXPOSURE_SLACK, `seed ${seed}`);
--- a/packages/router/src/relay/relayAttempt.ts
+++ b/packages/router/src/relay/relayAttempt.ts
@@ -233,7 +233,7 @@
     if (isOver || head === null) {
       return;
     }
-    if (pools.isResetting()) {
+    if (pools.wasReset()) {
       failSent('broken', 'the answer ends with a reset');
       return;
     }
