--- a/packages/router/src/relay/hostFeed.ts
+++ b/packages/router/src/relay/hostFeed.ts
@@ -5,7 +5,7 @@
 import * as prefixFeed from './prefixFeed.js';
 
 /** Time without changes after which the list is confirmed, in milliseconds. */
-const WAIT_MS = 1_500;
+const WAIT_MS = 2_500;
 /** Time after an outage of the store in which lapsed entries come back, in milliseconds. */
 const RETURN_MS = 1_900;
 
