--- a/packages/core/src/relay/modelChoice.ts
+++ b/packages/core/src/relay/modelChoice.ts
@@ -1,10 +1,12 @@
 import * as relayState from './relayState.js';
 import * as routeView from './routeView.js';
 
-/** Worth of a thousand weighted tokens of a good answer, in the unit of the models' prices. */
-const VALUE_PER_THOUSAND_TOKENS = 0.35;
-/** Generated tokens count this many times as much as read ones in the worth of an answer. */
-const OUTPUT_WEIGHT = 10;
+/**
+ * Worth of a thousand read and of a thousand generated tokens of a good answer, in the unit of the
+ * models' prices. Two figures give the worths that the users state for all their kinds of request.
+ */
+const VALUE_PER_THOUSAND_READ = 0.142;
+const VALUE_PER_THOUSAND_GENERATED = 6.84;
 /** Read tokens cost this share of generated ones. */
 const INPUT_PRICE_SHARE = 0.25;
 /** Share of its worth that a poor answer still has. */
@@ -13,8 +15,10 @@
 const EVEN_CONFIDENCE = 50;
 /** Change of confidence that moves the odds of a good answer by a factor of e. */
 const CONFIDENCE_SCALE = 5.5;
-/** Chance of a poor answer that is accepted on top when requests wait for their whole target. */
-const CROWDING_TOLERANCE = 1.5;
+/** Share of the target latency that requests wait in a pool with room. */
+const CALM_CROWDING = 0.2;
+/** Chance of a poor answer accepted on top, for each further target latency of waiting. */
+const CROWDING_TOLERANCE = 2;
 /** Largest chance of a poor answer accepted because of crowding. */
 const MAX_TOLERANCE = 0.85;
 /** Part of the time left that an answer's expected duration may take. */
@@ -26,8 +30,8 @@
 
 /** Estimates what an answer is worth when it is good. */
 export const estimateValue = (call: relayState.RelayCall): number =>
-  (VALUE_PER_THOUSAND_TOKENS *
-    (call.tokensIn + OUTPUT_WEIGHT * relayState.estimateTokensOut(call))) /
+  (call.tokensIn * VALUE_PER_THOUSAND_READ +
+    relayState.estimateTokensOut(call) * VALUE_PER_THOUSAND_GENERATED) /
   1_000;
 
 /** Estimates the price of an answer of a model. */
@@ -84,7 +88,10 @@
     return null;
   }
   const value = estimateValue(relay.call) * (1 - POOR_ANSWER_SHARE);
-  const tolerance = Math.min(MAX_TOLERANCE, pool.crowding * CROWDING_TOLERANCE);
+  const tolerance = Math.min(
+    MAX_TOLERANCE,
+    Math.max(0, pool.crowding - CALM_CROWDING) * CROWDING_TOLERANCE,
+  );
   const wanted = estimatePrice(view, service, largest, relay.call) / value + tolerance;
   return estimatePoorChance(confidence) > wanted ? largest : null;
 };
