--- a/packages/core/src/dispatch.ts
+++ b/packages/core/src/dispatch.ts
@@ -149,7 +149,7 @@
     versionId: request.versionId,
     priority: request.isLong ? 1 : 0,
     resumeFrom: request.tokensRelayed,
-    relay: relaySend.makeSend(current, request, target.host, stamp.nowMs),
+    relay: relaySend.makeSend(current, request, stamp.nowMs),
   };
   const counted = relaySend.countSend(next, request, stamp.nowMs);
   const timers = request.relay === null ? makeHedgeTimer(lane, running, attempt.id) : [];
--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -21,7 +21,6 @@
   readonly gapTimeoutMs: number;
   /** True when the answer is a stream of events. */
   readonly isStream: boolean;
-  readonly host: shared.hosts.Host;
 }
 
 /** Payloads of all effects, by type. */
--- a/packages/core/src/relay/relaySend.ts
+++ b/packages/core/src/relay/relaySend.ts
@@ -1,4 +1,3 @@
-import type * as shared from '@jayrock/shared';
 import type * as effects from '../effects.js';
 import type * as requestState from '../requestState.js';
 import type * as routerState from '../routerState.js';
@@ -36,7 +35,6 @@
 export const makeSend = (
   current: routerState.RouterState,
   request: requestState.RequestState,
-  host: shared.hosts.Host,
   nowMs: number,
 ): effects.RelaySend | null => {
   const { relay } = request;
@@ -54,7 +52,6 @@
     headTimeoutMs: request.isRepeatable ? route.targetLatencyMs * patience : Infinity,
     gapTimeoutMs: (route.gapTargetMs ?? DEFAULT_GAP_MS) * GAP_TIMEOUT_SHARE,
     isStream: route.kind === 'streaming',
-    host,
   };
 };
 
--- a/packages/router/src/relay/relayPending.ts
+++ b/packages/router/src/relay/relayPending.ts
@@ -28,6 +28,4 @@
   hasBegun: boolean;
   /** Last event passed to the caller, or null before the first. */
   lastEventId: number | null;
-  upstreamId: string;
-  route: string;
 }
--- a/packages/router/src/relay/relayRunners.ts
+++ b/packages/router/src/relay/relayRunners.ts
@@ -47,7 +47,6 @@
     { pending, attemptId, upstreamId, address, send },
     {
       handleHead: (head) => {
-        pending.upstreamId = upstreamId;
         context.node.dispatch({ type: 'relayHeadArrived', requestId, attemptId, head });
       },
       handleEnd: (stream) => {
--- a/packages/router/src/relay/relayServer.ts
+++ b/packages/router/src/relay/relayServer.ts
@@ -134,8 +134,6 @@
     attempts: new Map(),
     hasBegun: false,
     lastEventId: call.lastEventId,
-    upstreamId: '',
-    route: '',
   };
   if (context.isLeaving()) {
     response.shouldKeepAlive = false;
