--- a/packages/router/src/relay/startRelay.ts
+++ b/packages/router/src/relay/startRelay.ts
@@ -25,7 +25,7 @@
 /** Time between two ticks of the reducer, in milliseconds. */
 const TICK_MS = 200;
 /** Time after which a wait for configuration confirms the one in force, in milliseconds. */
-const CONFIG_WAIT_MS = 2_000;
+const CONFIG_WAIT_MS = 1_500;
 /** Time after which a wait for this product's own keys begins anew, in milliseconds. */
 const OWN_WAIT_MS = 10_000;
 /** Part of the bound on withdrawn keys up to which a confirmation counts. */
