refactor(core): one definition each of located attempts, moved attempts and unstarted requests

Behaviour unchanged. Routed requests had written again the fields of a request that has not started, the loop that cancels several attempts, and cancel-then-send in three places; the route's timeout was kept in the state though nothing read it. Checked: npm test, format, lint, types.

--- a/packages/core/src/attempts.ts
+++ b/packages/core/src/attempts.ts
@@ -53,13 +53,12 @@
   { request, attempt }: Located,
   stamp: events.Stamp,
 ): step.Step =>
-  request.attempts
-    .filter((other) => other.id !== attempt.id)
-    .reduce(
-      (done, other) =>
-        step.chainStep(done, (next) => slots.cancelAttempt(next, request.id, other, stamp)),
-      step.makeStep(current),
-    );
+  slots.cancelAttempts(
+    current,
+    request.id,
+    request.attempts.filter((other) => other.id !== attempt.id),
+    stamp,
+  );
 
 const markRelayed = (current: routerState.RouterState, { request, attempt }: Located): step.Step =>
   step.makeStep(routerState.setRequest(current, { ...request, relayedAttempt: attempt.id }), {
@@ -203,11 +202,7 @@
     return step.makeStep(current);
   }
   const left = dispatch.leaveQueue(current, request, event.nowMs);
-  const cancelled = request.attempts.reduce(
-    (done, attempt) =>
-      step.chainStep(done, (next) => slots.cancelAttempt(next, request.id, attempt, event)),
-    step.makeStep(left),
-  );
+  const cancelled = slots.cancelAttempts(left, request.id, request.attempts, event);
   return step.chainStep(cancelled, (next) =>
     refusal.refuseRequest(next, next.requests.get(request.id) ?? request, 'callerGone', null),
   );
--- a/packages/core/src/relay/relayAnswers.ts
+++ b/packages/core/src/relay/relayAnswers.ts
@@ -5,7 +5,6 @@
 import * as health from '../health.js';
 import * as laneState from '../laneState.js';
 import * as quarantine from '../quarantine.js';
-import type * as requestState from '../requestState.js';
 import * as routerState from '../routerState.js';
 import * as slots from '../slots.js';
 import * as step from '../step.js';
@@ -18,18 +17,11 @@
 import * as relayState from './relayState.js';
 import * as versionTrial from './versionTrial.js';
 
-/** A routed request with the attempt an event speaks of. */
-export interface Located {
-  readonly request: requestState.RequestState;
-  readonly relay: relayState.RelayState;
-  readonly attempt: requestState.Attempt;
-}
-
 /** Finds the attempt an event speaks of; late events of ended attempts find nothing. */
 const findAttempt = (
   current: routerState.RouterState,
   event: { readonly requestId: string; readonly attemptId: number },
-): Located | null => {
+): relayRetry.Located | null => {
   const request = current.requests.get(event.requestId);
   const attempt = request?.attempts.find((item) => item.id === event.attemptId);
   const relay = request?.relay ?? null;
@@ -41,7 +33,7 @@
 /** Counts an answer or a failure as evidence in a roll-out of its service. */
 const countEvidence = (
   current: routerState.RouterState,
-  { request, relay, attempt }: Located,
+  { request, relay, attempt }: relayRetry.Located,
   elapsedMs: number | null,
   nowMs: number,
 ): routerState.RouterState => {
@@ -62,7 +54,7 @@
 
 const recordHead = (
   current: routerState.RouterState,
-  { request, relay, attempt }: Located,
+  { request, relay, attempt }: relayRetry.Located,
   nowMs: number,
 ): routerState.RouterState => {
   const units = 1 + attempt.prefillTokens / TOKENS_PER_UNIT;
@@ -106,7 +98,7 @@
 /** An attempt that has its head no longer waits to read its prompt. */
 const clearPrefill = (
   current: routerState.RouterState,
-  { request, attempt }: Located,
+  { request, attempt }: relayRetry.Located,
 ): routerState.RouterState =>
   routerState.setRequest(
     routerState.updateUpstream(current, attempt.upstreamId, (known) => ({
@@ -121,7 +113,7 @@
     },
   );
 
-const relayHead = (current: routerState.RouterState, located: Located): step.Step => {
+const relayHead = (current: routerState.RouterState, located: relayRetry.Located): step.Step => {
   const version = current.upstreams.get(located.attempt.upstreamId)?.host.version ?? null;
   const request = current.requests.get(located.request.id) ?? located.request;
   return step.makeStep(
@@ -136,7 +128,7 @@
 
 const describePool = (
   current: routerState.RouterState,
-  { request, relay }: Located,
+  { request, relay }: relayRetry.Located,
   nowMs: number,
 ): modelChoice.PoolState => {
   const largest = relay.route.sizes.at(-1) ?? null;
@@ -148,7 +140,7 @@
 };
 
 const describeDecision = (
-  { request, relay, attempt }: Located,
+  { request, relay, attempt }: relayRetry.Located,
   event: events.EventOf<'relayHeadArrived'>,
   better: string | null,
 ): effects.EffectOf<'log'> => ({
@@ -209,7 +201,7 @@
 /** Learns how fast an upstream's streams go on, relative to others of the same model. */
 const recordPace = (
   current: routerState.RouterState,
-  { request, relay, attempt }: Located,
+  { request, relay, attempt }: relayRetry.Located,
   event: events.EventOf<'relayEnded'>,
 ): routerState.RouterState => {
   if (event.events < 2) {
@@ -295,7 +287,10 @@
   return relayRetry.recoverFailed(counted, located, event);
 };
 
-const listAttempts = (current: routerState.RouterState, upstreamId: string): readonly Located[] =>
+const listAttempts = (
+  current: routerState.RouterState,
+  upstreamId: string,
+): readonly relayRetry.Located[] =>
   current.requests
     .valueSeq()
     .toArray()
--- a/packages/core/src/relay/relayArrival.ts
+++ b/packages/core/src/relay/relayArrival.ts
@@ -4,7 +4,7 @@
 import * as quarantine from '../quarantine.js';
 import * as random from '../random.js';
 import * as refusal from '../refusal.js';
-import type * as requestState from '../requestState.js';
+import * as requestState from '../requestState.js';
 import type * as routerState from '../routerState.js';
 import * as step from '../step.js';
 import * as modelChoice from './modelChoice.js';
@@ -84,11 +84,11 @@
   { route, holder }: Found,
 ): requestState.RequestState => {
   const { call, nowMs } = arrival;
-  const timeoutAtMs = nowMs + route.timeoutMs;
-  const deadlineAtMs = Math.min(timeoutAtMs, nowMs + (call.deadlineMs ?? route.timeoutMs));
+  const deadlineAtMs = nowMs + Math.min(route.timeoutMs, call.deadlineMs ?? route.timeoutMs);
   const service = pickService(route, random.deriveFraction(arrival.random, 1));
   const tokensOut = relayState.estimateTokensOut(call);
   return {
+    ...requestState.UNSTARTED,
     id: arrival.requestId,
     customer: holder?.organisation ?? '*',
     plan: '',
@@ -99,29 +99,16 @@
     expectedTokens: tokensOut,
     isLong: tokensOut >= LONG_TOKENS,
     isRepeatable: route.kind === 'safe' || (route.kind === 'streaming' && route.isResumable),
-    hasClaim: false,
     isSuspect: quarantine.isSuspect(current.quarantine, call.fingerprint, nowMs),
     pin: null,
     hasMovedSession: false,
     arrivedAtMs: nowMs,
     deadlineAtMs,
-    phase: 'queued',
-    queueOrder: 0,
-    attempts: [],
-    nextAttemptId: 1,
-    sentCount: 0,
-    retryCount: 0,
-    triedUpstreams: [],
-    relayedAttempt: null,
-    tokensRelayed: 0,
-    escalationCount: 0,
     priceMicros: 0,
     isBilled: false,
-    tokensOut: 0,
     relay: {
       call,
       route,
-      timeoutAtMs,
       queueUntilMs: Math.min(deadlineAtMs, nowMs + route.targetLatencyMs * QUEUE_SHARE),
       model: modelChoice.pickFirstModel(route.sizes, call),
       rank: holder?.priority ?? route.priority,
--- a/packages/core/src/relay/relayExpiry.ts
+++ b/packages/core/src/relay/relayExpiry.ts
@@ -16,11 +16,7 @@
     return step.makeStep(current);
   }
   const left = dispatch.leaveQueue(current, request, stamp.nowMs);
-  const cancelled = request.attempts.reduce(
-    (done, attempt) =>
-      step.chainStep(done, (next) => slots.cancelAttempt(next, request.id, attempt, stamp)),
-    step.makeStep(left),
-  );
+  const cancelled = slots.cancelAttempts(left, request.id, request.attempts, stamp);
   return step.chainStep(cancelled, (next) =>
     relayRefusal.endUnanswered(
       next,
--- a/packages/core/src/relay/relayRetry.ts
+++ b/packages/core/src/relay/relayRetry.ts
@@ -15,7 +15,8 @@
 import type * as relayState from './relayState.js';
 import * as sendBudget from './sendBudget.js';
 
-interface Located {
+/** A routed request with the attempt an event speaks of. */
+export interface Located {
   readonly request: requestState.RequestState;
   readonly relay: relayState.RelayState;
   readonly attempt: requestState.Attempt;
@@ -55,6 +56,20 @@
     stamp,
   );
 
+/** Cancels an attempt and sends its request again. */
+const moveAttempt = (
+  current: routerState.RouterState,
+  attempt: requestState.Attempt,
+  requestId: string,
+  stamp: events.Stamp,
+): step.Step => {
+  const cancelled = slots.cancelAttempt(current, requestId, attempt, stamp);
+  return step.chainStep(cancelled, (next) => {
+    const left = next.requests.get(requestId);
+    return left === undefined ? step.makeStep(next) : sendAgain(next, left, stamp);
+  });
+};
+
 /** Drops an answer whose model doubts it and asks a better one; null if that is not possible now. */
 export const replaceModel = (
   current: routerState.RouterState,
@@ -71,18 +86,9 @@
     escalationCount: request.escalationCount + 1,
     triedUpstreams: [],
   };
-  const target = dispatch.findUpstream(current, wanted, stamp);
-  if (target === null) {
-    return null;
-  }
-  const noted = routerState.setRequest(current, wanted);
-  const cancelled = slots.cancelAttempt(noted, request.id, attempt, stamp);
-  return step.chainStep(cancelled, (next) => {
-    const held = next.requests.get(request.id);
-    return held === undefined
-      ? step.makeStep(next)
-      : sendAgain(next, { ...held, relay: wanted.relay, triedUpstreams: [] }, stamp);
-  });
+  return dispatch.findUpstream(current, wanted, stamp) === null
+    ? null
+    : moveAttempt(routerState.setRequest(current, wanted), attempt, request.id, stamp);
 };
 
 const noteUpstream = (
@@ -157,11 +163,7 @@
           attemptId: attempt.id,
         });
   }
-  const cancelled = slots.cancelAttempt(noted, request.id, attempt, event);
-  return step.chainStep(cancelled, (next) => {
-    const left = next.requests.get(request.id);
-    return left === undefined ? step.makeStep(next) : sendAgain(next, left, event);
-  });
+  return moveAttempt(noted, attempt, request.id, event);
 };
 
 /** Crashes are told to peers, so that a request which causes them is stopped everywhere. */
@@ -216,14 +218,9 @@
   stamp: events.Stamp,
 ): step.Step => {
   const { request, relay, attempt } = located;
-  if (!request.isRepeatable || !canSendAgain(current, request, relay, stamp.nowMs)) {
-    return step.makeStep(current);
-  }
-  const cancelled = slots.cancelAttempt(current, request.id, attempt, stamp);
-  return step.chainStep(cancelled, (next) => {
-    const left = next.requests.get(request.id);
-    return left === undefined ? step.makeStep(next) : sendAgain(next, left, stamp);
-  });
+  return request.isRepeatable && canSendAgain(current, request, relay, stamp.nowMs)
+    ? moveAttempt(current, attempt, request.id, stamp)
+    : step.makeStep(current);
 };
 
 /** Decides what becomes of a request whose attempt failed. */
--- a/packages/core/src/relay/relayState.ts
+++ b/packages/core/src/relay/relayState.ts
@@ -33,8 +33,6 @@
 export interface RelayState {
   readonly call: RelayCall;
   readonly route: shared.routeTable.Route;
-  /** Time at which the route's timeout ends the request, in milliseconds. */
-  readonly timeoutAtMs: number;
   /** Model asked of the upstream, or null when the request passes unchanged. */
   readonly model: string | null;
   /** Rank among waiting work, 0 first. */
--- a/packages/core/src/requestState.ts
+++ b/packages/core/src/requestState.ts
@@ -81,6 +81,22 @@
   readonly relay: relayState.RelayState | null;
 }
 
+/** Fields of a request of which nothing has been started yet. */
+export const UNSTARTED = {
+  hasClaim: false,
+  phase: 'queued',
+  queueOrder: 0,
+  attempts: [],
+  nextAttemptId: 1,
+  sentCount: 0,
+  retryCount: 0,
+  triedUpstreams: [],
+  relayedAttempt: null,
+  tokensRelayed: 0,
+  escalationCount: 0,
+  tokensOut: 0,
+} as const satisfies Partial<RequestState>;
+
 /** Prompt tokens that take an engine as long as one generated token. */
 const PREFILL_TOKENS_PER_TOKEN = 20;
 
--- a/packages/core/src/routing.ts
+++ b/packages/core/src/routing.ts
@@ -5,7 +5,7 @@
 import * as learning from './learning.js';
 import * as quarantine from './quarantine.js';
 import * as random from './random.js';
-import type * as requestState from './requestState.js';
+import * as requestState from './requestState.js';
 import * as routerState from './routerState.js';
 import * as versionChoice from './versionChoice.js';
 
@@ -51,6 +51,7 @@
   const classKey = learning.classifyRequest(arrival.shape);
   const expectedTokens = learning.estimateTokens(current.learning, classKey, arrival.shape);
   return {
+    ...requestState.UNSTARTED,
     id: arrival.requestId,
     customer: caller.customer.name,
     plan: caller.plan.name,
@@ -58,22 +59,10 @@
     classKey,
     expectedTokens,
     isLong: expectedTokens >= LONG_TOKENS,
-    hasClaim: false,
     isSuspect: quarantine.isSuspect(current.quarantine, arrival.shape.fingerprint, arrival.nowMs),
     pin: arrival.pin,
     arrivedAtMs: arrival.nowMs,
     deadlineAtMs: arrival.nowMs + caller.plan.deadlineMs,
-    phase: 'queued',
-    queueOrder: 0,
-    attempts: [],
-    nextAttemptId: 1,
-    sentCount: 0,
-    retryCount: 0,
-    triedUpstreams: [],
-    relayedAttempt: null,
-    tokensRelayed: 0,
-    escalationCount: 0,
-    tokensOut: 0,
     isBilled: true,
     relay: null,
     ...fields,
--- a/packages/core/src/slots.ts
+++ b/packages/core/src/slots.ts
@@ -52,6 +52,19 @@
   );
 };
 
+/** Cancels attempts of one request. */
+export const cancelAttempts = (
+  current: routerState.RouterState,
+  requestId: string,
+  attempts: readonly requestState.Attempt[],
+  stamp: events.Stamp,
+): step.Step =>
+  attempts.reduce(
+    (done, attempt) =>
+      step.chainStep(done, (next) => cancelAttempt(next, requestId, attempt, stamp)),
+    step.makeStep(current),
+  );
+
 /** Marks an attempt that has passed its hedge delay without a token. */
 export const markOverdue = (
   current: routerState.RouterState,
