feat(core): log an upstream's whole failure of a routed request

Cause: only failures of the connection were logged ('attempt failed'); a whole answer with a failure's status left no line, so a roll-out's log showed a bad version as if it answered well. A decision that touches a request has its line.

--- a/packages/core/src/relay/relayAnswers.ts
+++ b/packages/core/src/relay/relayAnswers.ts
@@ -158,6 +158,21 @@
   },
 });
 
+const describeFailure = (
+  { request, attempt }: relayRetry.Located,
+  event: events.EventOf<'relayHeadArrived'>,
+): effects.EffectOf<'log'> => ({
+  type: 'log',
+  message: 'upstream answered with a failure',
+  fields: {
+    request: request.id,
+    upstream: attempt.upstreamId,
+    status: event.head.status,
+    sentCount: request.sentCount,
+    elapsedMs: Math.round(event.nowMs - attempt.startedAtMs),
+  },
+});
+
 const handleHead = (
   current: routerState.RouterState,
   event: events.EventOf<'relayHeadArrived'>,
@@ -170,7 +185,9 @@
   const elapsedMs = event.nowMs - attempt.startedAtMs;
   if (event.head.status >= relayState.FIRST_FAILURE_STATUS) {
     const counted = countEvidence(current, located, null, event.nowMs);
-    return relayRetry.retryAnswered(counted, located, event);
+    return step.chainStep(step.makeStep(counted, describeFailure(located, event)), (next) =>
+      relayRetry.retryAnswered(next, located, event),
+    );
   }
   const counted = countEvidence(current, located, elapsedMs, event.nowMs);
   const timed = clearPrefill(recordHead(counted, located, event.nowMs), located);
