fix(core): bound a bad version's share by the schedule, not by evidence alone

No evidence can bound that share in time. Change: the schedule spends the allowed share (a setting, exposureShare): a small constant share, a short step to all sessions late in the period, then the end once all traffic has been evidence for a while.

--- a/packages/core/src/relay/relayContext.ts
+++ b/packages/core/src/relay/relayContext.ts
@@ -12,6 +12,8 @@
   readonly maxDenyAgeMs: number;
   /** Further sends that all routers together may make to one service. */
   readonly repeats: sendBudget.RepeatRule;
+  /** Share of the requests of a roll-out's period that a bad version may get. */
+  readonly exposureShare: number;
 }
 
 /** What the router knows only for routed requests. */
@@ -38,6 +40,7 @@
   maxKeyAgeMs: 4_000,
   maxDenyAgeMs: 2_000,
   repeats: { share: 0.2, slack: 20, windowMs: 10_000 },
+  exposureShare: 0.15,
 };
 
 /** Makes the context of a router that has seen nothing. */
--- a/packages/core/src/relay/relayTrials.ts
+++ b/packages/core/src/relay/relayTrials.ts
@@ -31,7 +31,7 @@
           stage: known.stage === 'running' ? stage : known.stage,
           startedAtMs: Math.min(known.startedAtMs, startedAtMs),
         }
-      : versionTrial.makeTrial(order, stage, startedAtMs);
+      : versionTrial.makeTrial(order, stage, startedAtMs, current.relay.settings.exposureShare);
   return step.makeStep(withTrial(current, next), {
     type: 'log',
     message: 'roll-out seen',
--- a/packages/core/src/relay/versionTrial.ts
+++ b/packages/core/src/relay/versionTrial.ts
@@ -18,6 +18,8 @@
 export interface VersionTrial {
   readonly order: VersionOrder;
   readonly stage: TrialStage;
+  /** Share of the period's requests that a bad version may get. */
+  readonly exposureShare: number;
   /** Time at which the order was first seen by any router, in this router's milliseconds. */
   readonly startedAtMs: number;
   /** True once this router or a peer has judged the version bad. */
@@ -42,14 +44,21 @@
   readonly atMs: number;
 }
 
-/** Share of sessions on the version while it is on trial. */
-const TRIAL_SHARE = 0.09;
-/** Part of the period after which the share grows, so that sessions keep their version before. */
-const RAMP_START = 0.52;
-/** Part of the period at which all sessions are on the version. */
-const RAMP_END = 0.74;
-/** Part of the period from which the roll-out ends even if old requests still run. */
-const LATEST_END = 0.92;
+/**
+ * How the allowed share of a period's requests is spent. A version may be bad in a way that shows only under a
+ * load it has not had yet, so no evidence bounds its share before the end: the schedule alone does. The parts
+ * leave room for a load that is half as high again near the end as on average.
+ */
+/** Sessions on the version while it is on trial, as a part of the allowed share. */
+const TRIAL_PART = 0.35;
+/** Part of the period in which the share grows to all sessions, as a part of the allowed share. */
+const RAMP_PART = 0.1;
+/** Part of the period left once all sessions are on the version, as a part of the allowed share. */
+const TAIL_PART = 0.4;
+/** Part of the period left once all traffic has been evidence for a while, as a part of the allowed share. */
+const END_PART = 0.27;
+/** Time left at which it ends even if old requests still run, in milliseconds: the record has to be written. */
+const LATEST_LEFT_MS = 600;
 /** Time for which old versions must have been idle before they may stop, in milliseconds. */
 const IDLE_REPORT_MS = 2_500;
 
@@ -58,9 +67,11 @@
   order: VersionOrder,
   stage: TrialStage,
   startedAtMs: number,
+  exposureShare: number,
 ): VersionTrial => ({
   order,
   stage,
+  exposureShare,
   startedAtMs,
   isBad: false,
   rows: immutable.Map(),
@@ -71,6 +82,9 @@
 const computeProgress = (trial: VersionTrial, nowMs: number): number =>
   (nowMs - trial.startedAtMs) / Math.max(1, trial.order.periodMs);
 
+/** Part of the period at which all sessions are on the version. */
+const computeRampEnd = (trial: VersionTrial): number => 1 - trial.exposureShare * TAIL_PART;
+
 /** Returns the share of sessions that go to the version, from 0 to 1. */
 export const getShare = (trial: VersionTrial, nowMs: number): number => {
   if (trial.isBad || trial.stage === 'rolledBack') {
@@ -79,8 +93,10 @@
   if (trial.stage === 'completed') {
     return 1;
   }
-  const ramped = (computeProgress(trial, nowMs) - RAMP_START) / (RAMP_END - RAMP_START);
-  return Math.min(1, Math.max(TRIAL_SHARE, TRIAL_SHARE + (1 - TRIAL_SHARE) * ramped));
+  const trialShare = trial.exposureShare * TRIAL_PART;
+  const leftOfRamp = computeRampEnd(trial) - computeProgress(trial, nowMs);
+  const ramped = 1 - leftOfRamp / (trial.exposureShare * RAMP_PART);
+  return Math.min(1, Math.max(trialShare, trialShare + (1 - trialShare) * ramped));
 };
 
 const makeRowKey = (source: string, row: trialEvidence.EvidenceRow): string =>
@@ -170,7 +186,8 @@
     return 'rolledBack';
   }
   const progress = computeProgress(trial, nowMs);
-  const isDone =
-    progress >= LATEST_END || (progress > RAMP_END && isOldIdle(trial, ownRunning, nowMs));
+  const leftMs = (1 - progress) * trial.order.periodMs;
+  const mayStopOld = leftMs <= LATEST_LEFT_MS || isOldIdle(trial, ownRunning, nowMs);
+  const isDone = progress >= 1 - trial.exposureShare * END_PART && mayStopOld;
   return isDone ? 'completed' : null;
 };
--- a/packages/router/src/relay/startRelay.ts
+++ b/packages/router/src/relay/startRelay.ts
@@ -59,6 +59,7 @@
     slack: settings.bounds.repeatSlack,
     windowMs: settings.bounds.repeatWindowMs,
   },
+  exposureShare: settings.bounds.exposureShare,
 });
 
 const listen = (server: fastify.FastifyInstance, address: string): Promise<string> =>
--- a/packages/shared/src/settings.ts
+++ b/packages/shared/src/settings.ts
@@ -16,6 +16,8 @@
     configurationMs: zod.number().positive().default(2_000),
     /** Time between the signal to stop and the end of the process, in milliseconds. */
     graceMs: zod.number().positive().default(8_000),
+    /** Share of the requests of a roll-out's period that a bad version may get. */
+    exposureShare: zod.number().positive().max(1).default(0.15),
     /** Further sends that all routers together may make for each request to a service. */
     repeatShare: zod.number().min(0).default(0.2),
     /** Further sends allowed on top in each window. */
