fix(core): unsent work leaves an upstream that cannot be reached

Change: the reducer asks the shell to drop such an attempt if it still waits for its connection; it then fails as unsent and goes on elsewhere. A connection that opens later sends nothing. Ruled out: a shorter connect timeout; it would also cut upstreams that accept slowly. Tests: relay.spec (fails before: nothing was asked), relayAttempt.spec (the shell, without a network).

--- a/packages/core/__tests__/relay.spec.ts
+++ b/packages/core/__tests__/relay.spec.ts
@@ -145,6 +145,26 @@
   t.true(driver.getState().requests.has('b'));
 });
 
+test('work that may not be repeated leaves an unreachable upstream if nothing was sent', (t) => {
+  const driver = relayFixtures.makeRelayDriver(['u1', 'u2']);
+  const [upstreamId = ''] = listStarts(relayFixtures.sendCall(driver, 'a', { path: '/issue/' }));
+  const told = driver.send({ type: 'upstreamReached', upstreamId, isReachable: false });
+  t.deepEqual(
+    fixtures.pickEffects(told, 'dropUnsent').map(({ requestId }) => requestId),
+    ['a'],
+  );
+  const dropped = driver.send(
+    relayFixtures.makeFailure('a', 1, {
+      failure: 'unreachable',
+      isUnsent: true,
+      isNotRun: true,
+    }),
+  );
+  const [next = ''] = listStarts(dropped);
+  t.not(next, '');
+  t.not(next, upstreamId);
+});
+
 test('a stream that has begun is cut off when its last upstream answers with a failure', (t) => {
   const driver = relayFixtures.makeRelayDriver(['u1', 'u2', 'u3']);
   relayFixtures.sendCall(driver, 'a', { path: '/talk/' });
--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -62,6 +62,8 @@
   /** Give the caller the recorded answer of the first run. */
   readonly replayAnswer: { readonly requestId: string };
   readonly cancelAttempt: { readonly requestId: string; readonly attemptId: number };
+  /** Fail an attempt as unsent if no byte of it has left, so that it may go on elsewhere. */
+  readonly dropUnsent: { readonly requestId: string; readonly attemptId: number };
   /** Ask for a rating while the answer is held back. */
   readonly rateHeldAnswer: { readonly requestId: string; readonly timeoutMs: number };
   /** Ask for a rating that only teaches. */
--- a/packages/core/src/relay/relayRetry.ts
+++ b/packages/core/src/relay/relayRetry.ts
@@ -211,7 +211,10 @@
     : relayRefusal.endUnanswered(current, request, FAILURE_CODES[event.failure], event);
 };
 
-/** Work on an upstream that cannot be reached goes on elsewhere, if it may; the rest keeps waiting. */
+/**
+ * Work on an upstream that cannot be reached goes on elsewhere if it may be repeated or was not sent yet; the
+ * rest keeps waiting.
+ */
 export const leaveUpstream = (
   current: routerState.RouterState,
   located: Located,
@@ -220,7 +223,11 @@
   const { request, relay, attempt } = located;
   return request.isRepeatable && canSendAgain(current, request, relay, stamp.nowMs)
     ? moveAttempt(current, attempt, request.id, stamp)
-    : step.makeStep(current);
+    : step.makeStep(current, {
+        type: 'dropUnsent',
+        requestId: request.id,
+        attemptId: attempt.id,
+      });
 };
 
 /** Decides what becomes of a request whose attempt failed. */
--- /dev/null
+++ b/packages/router/__tests__/relayAttempt.spec.ts
@@ -0,0 +1,112 @@
+import * as http from 'node:http';
+import * as net from 'node:net';
+import test from 'ava';
+import type * as undici from 'undici';
+import * as relayAttempt from '../src/relay/relayAttempt.js';
+import type * as relayPending from '../src/relay/relayPending.js';
+import type * as agents from '../src/upstreams/agents.js';
+
+interface FakePools {
+  readonly pools: agents.Agents;
+  /** Opens the connection that the send waits for; returns why the send was stopped, if it was. */
+  readonly open: () => string | null;
+}
+
+/** Makes pools whose connections open only when the test says so. */
+const makePools = (): FakePools => {
+  let handler: undici.Dispatcher.DispatchHandler | null = null;
+  let stopped: string | null = null;
+  const pool = {
+    dispatch: (_: unknown, wanted: undici.Dispatcher.DispatchHandler): boolean => {
+      handler = wanted;
+      return true;
+    },
+  };
+  return {
+    pools: {
+      get: () => pool as unknown as undici.Pool,
+      renew: () => undefined,
+      wasReset: () => false,
+      close: () => Promise.resolve(),
+    },
+    open: () => {
+      const controller = {
+        abort: (error: Error) => {
+          stopped = error.message;
+        },
+      };
+      handler?.onRequestStart?.(controller as undici.Dispatcher.DispatchController, null);
+      return stopped;
+    },
+  };
+};
+
+const makePending = (): relayPending.RelayPending => ({
+  id: 'a',
+  callerId: 'a',
+  method: 'POST',
+  url: '/',
+  rawHeaders: [],
+  headers: {},
+  body: Buffer.alloc(0),
+  response: new http.ServerResponse(new http.IncomingMessage(new net.Socket())),
+  arrivedAtMs: 0,
+  attempts: new Map(),
+  hasBegun: false,
+  lastEventId: null,
+});
+
+const startAttempt = (
+  pools: agents.Agents,
+): {
+  readonly running: relayPending.RunningAttempt;
+  readonly failures: relayAttempt.RelayFailure[];
+} => {
+  const failures: relayAttempt.RelayFailure[] = [];
+  const running = relayAttempt.startRelayAttempt(
+    pools,
+    {
+      pending: makePending(),
+      attemptId: 1,
+      upstreamId: 'u1',
+      address: '127.0.0.1:1',
+      send: {
+        timeLeftMs: 1_000,
+        headTimeoutMs: Infinity,
+        gapTimeoutMs: Infinity,
+        organisation: 'ada',
+        model: null,
+        rank: 0,
+        isStream: false,
+      },
+    },
+    {
+      handleHead: () => undefined,
+      handleEnd: () => undefined,
+      handleFailure: (failure) => failures.push(failure),
+      handleHeard: () => undefined,
+      handleOver: () => undefined,
+      handleLoad: () => undefined,
+    },
+  );
+  return { running, failures };
+};
+
+test('a send that waits for its connection can be dropped, and then never leaves', (t) => {
+  const { pools, open } = makePools();
+  const { running, failures } = startAttempt(pools);
+  running.dropUnsent();
+  t.deepEqual(
+    failures.map(({ failure, isUnsent, isNotRun }) => ({ failure, isUnsent, isNotRun })),
+    [{ failure: 'unreachable', isUnsent: true, isNotRun: true }],
+  );
+  t.not(open(), null);
+});
+
+test('a send that has left is not dropped', (t) => {
+  const { pools, open } = makePools();
+  const { running, failures } = startAttempt(pools);
+  t.is(open(), null);
+  running.dropUnsent();
+  t.deepEqual(failures, []);
+});
--- a/packages/router/src/relay/relayAttempt.ts
+++ b/packages/router/src/relay/relayAttempt.ts
@@ -308,6 +308,11 @@
       stopTimer();
       abort('the router no longer needs the answer');
     },
+    dropUnsent: () => {
+      if (!isStarted) {
+        failSent('unreachable', 'the upstream cannot be reached and nothing was sent');
+      }
+    },
     relay,
   };
 };
--- a/packages/router/src/relay/relayPending.ts
+++ b/packages/router/src/relay/relayPending.ts
@@ -5,6 +5,8 @@
 export interface RunningAttempt {
   /** Stops the traffic and tells the upstream by closing the connection. */
   readonly cancel: () => void;
+  /** Fails the attempt as unsent if it still waits for its connection. */
+  readonly dropUnsent: () => void;
   /** Passes the answer on to the caller, what was held back first. */
   readonly relay: () => void;
 }
--- a/packages/router/src/relay/relayRunners.ts
+++ b/packages/router/src/relay/relayRunners.ts
@@ -131,6 +131,10 @@
         pending.attempts.get(effect.attemptId)?.cancel();
         pending.attempts.delete(effect.attemptId);
       }),
+    dropUnsent: (effect) =>
+      withPending(effect.requestId, (pending) =>
+        pending.attempts.get(effect.attemptId)?.dropUnsent(),
+      ),
     finishAnswer: (effect) =>
       withPending(effect.requestId, (pending) => {
         endRequest(context, pending, 'answered');
