fix(core): tell callers refused for an old table when to come back

Cause: refusals for an old or missing table are 503 and pass by themselves, but carried no time to come back. Change: they carry the usual pause, spread, within a third of the caller's time. Denials still carry none. Test: relay.spec, fails before.

--- a/packages/core/__tests__/relay.spec.ts
+++ b/packages/core/__tests__/relay.spec.ts
@@ -30,6 +30,18 @@
   t.is(findRefusal(relayFixtures.sendCall(driver, 'f', {}, maxKeyAgeMs)), undefined);
 });
 
+test('a caller refused for an old table is told when to come back, within its time', (t) => {
+  const driver = relayFixtures.makeRelayDriver();
+  const findPause = (path: string, viewAgeMs: number): number | null | undefined =>
+    fixtures.pickEffects(
+      relayFixtures.sendCall(driver, 'a', { path, deadlineMs: 900 }, viewAgeMs),
+      'refuse',
+    )[0]?.retryAfterMs;
+  const pause = findPause('/read/', core.relayContext.DEFAULT_SETTINGS.maxKeyAgeMs + 1) ?? 0;
+  t.true(pause > 0 && pause <= 300);
+  t.is(findPause('/unknown/', 0), null);
+});
+
 test('no accepted key is older than the bound on withdrawn keys, whatever the clocks do', (t) => {
   const boundMs = 5_000;
   const settings = { ...core.relayContext.DEFAULT_SETTINGS, maxKeyAgeMs: boundMs * 0.78 };
--- a/packages/core/src/relay/relayArrival.ts
+++ b/packages/core/src/relay/relayArrival.ts
@@ -3,7 +3,6 @@
 import type * as events from '../events.js';
 import * as quarantine from '../quarantine.js';
 import * as random from '../random.js';
-import * as refusal from '../refusal.js';
 import * as requestState from '../requestState.js';
 import type * as routerState from '../routerState.js';
 import * as step from '../step.js';
@@ -121,10 +120,10 @@
 const handleArrived = (current: routerState.RouterState, arrival: Arrival): step.Step => {
   const found = findCaller(current, arrival);
   if (!found.ok) {
-    return refusal.refuseArrival(current, arrival.requestId, found.error, null);
+    return relayRefusal.refuseCall(current, arrival, found.error);
   }
   if (quarantine.isQuarantined(current.quarantine, arrival.call.fingerprint, arrival.nowMs)) {
-    return refusal.refuseArrival(current, arrival.requestId, 'quarantined', null);
+    return relayRefusal.refuseCall(current, arrival, 'quarantined');
   }
   const request = makeRequest(current, arrival, found.value);
   if (relayPlacement.listUpstreams(current, request.service).length === 0) {
--- a/packages/core/src/relay/relayRefusal.ts
+++ b/packages/core/src/relay/relayRefusal.ts
@@ -27,6 +27,27 @@
   return Math.min(leftMs * MAX_PAUSE_SHARE, Math.max(DEFAULT_PAUSE_MS, waitMs) * spread);
 };
 
+/** Codes of refusals that end by themselves soon, so that the caller may come back. */
+const PASSING_CODES: ReadonlySet<shared.errorCodes.ErrorCode> = new Set([
+  'noConfiguration',
+  'viewOutdated',
+]);
+
+/** Refuses a call before it became a request; tells when to come back where that may help. */
+export const refuseCall = (
+  current: routerState.RouterState,
+  arrival: events.EventOf<'relayArrived'>,
+  code: shared.errorCodes.ErrorCode,
+): step.Step => {
+  const spread = 1 + PAUSE_SPREAD * random.deriveFraction(arrival.random, 9);
+  const pauseMs = Math.min(
+    (arrival.call.deadlineMs ?? Infinity) * MAX_PAUSE_SHARE,
+    DEFAULT_PAUSE_MS * spread,
+  );
+  const retryAfterMs = PASSING_CODES.has(code) ? pauseMs : null;
+  return refusal.refuseArrival(current, arrival.requestId, code, retryAfterMs);
+};
+
 /** Refuses a request of which nothing has run, and tells when to come back. */
 export const refuseNotRun = (
   current: routerState.RouterState,
