feat(core): hold back routed requests that crash their upstreams

Change: after a break the shell tries to connect; a refused connection means that the process has ended. The crash is named by the upstream's incarnation, so that routers count it once, and told to the peers. From the third on the request is refused as not run (503), and tried again after 15 s, since innocent requests can meet three crashes of one cause. Ruled out: a crash for every break (cuts and resets of the network would count), the plans' bound of two (innocents). Tests: relay.spec (two routers, virtual time), routed.spec (sockets); both fail before.

--- a/packages-private/measure/__tests__/routed.spec.ts
+++ b/packages-private/measure/__tests__/routed.spec.ts
@@ -110,6 +110,25 @@
   await site.close();
 });
 
+test('a request that crashes its upstreams is held back after the third, others are served', async (t) => {
+  const site = await routedSite.startRoutedSite('127.0.20.20', 4);
+  const sendPoison = (id: string): Promise<routedSite.Got> =>
+    site.call({ path: '/issue/', id, method: 'POST', body: 'poison' });
+  setBehaviour(site, { kind: 'crash' });
+  for (const id of ['q1', 'q2', 'q3']) {
+    // eslint-disable-next-line no-await-in-loop -- each crash follows the one before
+    t.is((await sendPoison(id)).status, 502);
+    // eslint-disable-next-line no-await-in-loop -- the crash is looked into meanwhile
+    await standIns.control.wait(100);
+  }
+  t.is((await sendPoison('q4')).status, 503);
+  t.is(listReceived(site, 'q4').length, 0);
+  setBehaviour(site, { kind: 'answer', status: 200, body: 'served' });
+  const other = { path: '/issue/', id: 'q5', method: 'POST', body: 'harmless' };
+  t.is((await site.call(other)).status, 200);
+  await site.close();
+});
+
 test('an answer without a length is whole when its connection ends, not when it is reset', async (t) => {
   const site = await routedSite.startRoutedSite('127.0.20.16');
   const call = { path: '/issue/', method: 'POST', body: 'b' };
--- a/packages-private/stand-ins/src/routedUpstream.ts
+++ b/packages-private/stand-ins/src/routedUpstream.ts
@@ -20,6 +20,8 @@
   | { readonly kind: 'stream'; readonly events: number; readonly cutAfter?: number }
   | { readonly kind: 'turnAway'; readonly status: number }
   | { readonly kind: 'reset' }
+  /** The process ends: the connection breaks and no new one is accepted. */
+  | { readonly kind: 'crash' }
   | { readonly kind: 'hang' }
   | { readonly kind: 'foreign' }
   | { readonly kind: 'short' }
@@ -104,6 +106,9 @@
     response.writeHead(status, { [H.notRun]: '1' }).end();
   },
   reset: (_, __, response) => response.socket?.resetAndDestroy(),
+  crash: (upstream) => {
+    upstream.close().catch(() => undefined);
+  },
   hang: () => undefined,
   foreign: (upstream, received, response) => {
     writeSignature(upstream, { ...received, id: 'another' }, response);
--- a/packages/core/__tests__/relay.spec.ts
+++ b/packages/core/__tests__/relay.spec.ts
@@ -177,6 +177,28 @@
   t.not(next, upstreamId);
 });
 
+test('a request that crashed three upstreams, whoever saw it, is held back for a while', (t) => {
+  const ids = ['u1', 'u2', 'u3'];
+  const [first, second] = [relayFixtures.makeRelayDriver(ids), relayFixtures.makeRelayDriver(ids)];
+  const isServed = (driver: fixtures.Driver, id: string, nowMs: number): boolean =>
+    listStarts(relayFixtures.sendCall(driver, id, {}, 0, nowMs)).length > 0;
+  const witness = (upstreamId: string): void => {
+    const told = first.send({ type: 'crashWitnessed', fingerprint: 'f', upstreamId }, 100);
+    fixtures
+      .pickEffects(told, 'broadcastCrashEvidence')
+      .forEach(({ fingerprint, crashes }) =>
+        second.send({ type: 'crashEvidenceReceived', fingerprint, crashes }, 100),
+      );
+  };
+  ['u1', 'u1', 'u2'].forEach(witness);
+  t.true(isServed(second, 'a', 200));
+  witness('u3');
+  t.false(isServed(first, 'b', 300));
+  t.false(isServed(second, 'c', 300));
+  // It may have been there by chance, so it is tried again.
+  t.true(isServed(second, 'd', 100 + core.quarantine.ROUTE_RULE.holdMs));
+});
+
 test('a stream that has begun is cut off when its last upstream answers with a failure', (t) => {
   const driver = relayFixtures.makeRelayDriver(['u1', 'u2', 'u3']);
   relayFixtures.sendCall(driver, 'a', { path: '/talk/' });
--- a/packages/core/__tests__/relayFixtures.ts
+++ b/packages/core/__tests__/relayFixtures.ts
@@ -105,6 +105,5 @@
   failure: 'broken',
   isUnsent: false,
   isNotRun: false,
-  hasCrashed: false,
   ...change,
 });
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -150,9 +150,9 @@
     readonly isUnsent: boolean;
     /** True when the upstream has proved that it did not run the request. */
     readonly isNotRun: boolean;
-    /** True when the upstream's process is known to have ended. */
-    readonly hasCrashed: boolean;
   };
+  /** An upstream refuses connections right after it broke off a request. */
+  readonly crashWitnessed: { readonly fingerprint: string; readonly upstreamId: string };
   /** Whether an upstream accepts connections from this router. */
   readonly upstreamReached: { readonly upstreamId: string; readonly isReachable: boolean };
   readonly trialSeen: {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,6 +12,7 @@
 export * as memberTable from './membership/memberTable.js';
 export * as orders from './orders/orders.js';
 export * as policy from './policy.js';
+export * as quarantine from './quarantine.js';
 export * as ratings from './ratings.js';
 export * as reduce from './reduce.js';
 export * as relayContext from './relay/relayContext.js';
--- a/packages/core/src/quarantine.ts
+++ b/packages/core/src/quarantine.ts
@@ -12,10 +12,25 @@
   readonly suspicions: immutable.Map<string, Suspicion>;
 }
 
-/** Crashes after which a request is not run again. */
-export const QUARANTINE_CRASHES = 2;
+/** When a request is not run again for its crashes. */
+export interface QuarantineRule {
+  /** Crashes after which it is held back. */
+  readonly crashes: number;
+  /** Time since the last crash for which it is held back, in milliseconds. */
+  readonly holdMs: number;
+}
+
 /** Time a suspicion is kept, in milliseconds. */
 const SUSPICION_TTL_MS = 30 * 60_000;
+/** Crashes of one request that are remembered. */
+const MAX_CRASHES = 3;
+/** Rule for requests of plans. */
+export const PLAN_RULE: QuarantineRule = { crashes: 2, holdMs: SUSPICION_TTL_MS };
+/**
+ * Rule for routed requests: the third crash is the last that the users allow. A request is tried again after
+ * a while, since several crashes of one cause can meet requests that did not cause them.
+ */
+export const ROUTE_RULE: QuarantineRule = { crashes: 3, holdMs: 15_000 };
 /** Largest number of suspicions kept. */
 const MAX_SUSPICIONS = 4_096;
 
@@ -42,7 +57,7 @@
   nowMs: number,
 ): QuarantineState => {
   const known = state.suspicions.get(fingerprint)?.crashes ?? [];
-  const merged = Array.from(new Set([...known, ...crashes])).slice(0, QUARANTINE_CRASHES);
+  const merged = Array.from(new Set([...known, ...crashes])).slice(-MAX_CRASHES);
   const kept = dropExpired(state.suspicions, nowMs);
   return { suspicions: kept.set(fingerprint, { crashes: merged, atMs: nowMs }) };
 };
@@ -61,7 +76,13 @@
   state: QuarantineState,
   fingerprint: string,
   nowMs: number,
-): boolean => (findSuspicion(state, fingerprint, nowMs)?.crashes.length ?? 0) >= QUARANTINE_CRASHES;
+  rule: QuarantineRule = PLAN_RULE,
+): boolean => {
+  const known = findSuspicion(state, fingerprint, nowMs);
+  return (
+    known !== undefined && known.crashes.length >= rule.crashes && nowMs - known.atMs < rule.holdMs
+  );
+};
 
 /** Tells whether a request was present at a crash. */
 export const isSuspect = (state: QuarantineState, fingerprint: string, nowMs: number): boolean =>
--- a/packages/core/src/reduce.ts
+++ b/packages/core/src/reduce.ts
@@ -10,6 +10,7 @@
 import * as orders from './orders/orders.js';
 import * as relayAnswers from './relay/relayAnswers.js';
 import * as relayArrival from './relay/relayArrival.js';
+import * as relayCrashes from './relay/relayCrashes.js';
 import * as relayFeeds from './relay/relayFeeds.js';
 import * as relayTrials from './relay/relayTrials.js';
 import * as reroute from './reroute.js';
@@ -37,6 +38,7 @@
   ...orders.HANDLERS,
   ...relayAnswers.HANDLERS,
   ...relayArrival.HANDLERS,
+  ...relayCrashes.HANDLERS,
   ...relayFeeds.HANDLERS,
   ...relayTrials.HANDLERS,
   ...rollouts.HANDLERS,
--- a/packages/core/src/relay/relayArrival.ts
+++ b/packages/core/src/relay/relayArrival.ts
@@ -117,13 +117,21 @@
   };
 };
 
+const isHeldBack = (
+  current: routerState.RouterState,
+  fingerprint: string,
+  nowMs: number,
+): boolean =>
+  quarantine.isQuarantined(current.quarantine, fingerprint, nowMs, quarantine.ROUTE_RULE);
+
 const handleArrived = (current: routerState.RouterState, arrival: Arrival): step.Step => {
   const found = findCaller(current, arrival);
   if (!found.ok) {
     return relayRefusal.refuseCall(current, arrival, found.error);
   }
-  if (quarantine.isQuarantined(current.quarantine, arrival.call.fingerprint, arrival.nowMs)) {
-    return relayRefusal.refuseCall(current, arrival, 'quarantined');
+  const { fingerprint } = arrival.call;
+  if (isHeldBack(current, fingerprint, arrival.nowMs)) {
+    return relayRefusal.refuseCall(current, arrival, 'heldBack');
   }
   const request = makeRequest(current, arrival, found.value);
   if (relayPlacement.listUpstreams(current, request.service).length === 0) {
--- a/packages/core/src/relay/relayRetry.ts
+++ b/packages/core/src/relay/relayRetry.ts
@@ -3,7 +3,6 @@
 import type * as events from '../events.js';
 import * as health from '../health.js';
 import * as memberTable from '../membership/memberTable.js';
-import * as quarantine from '../quarantine.js';
 import * as refusal from '../refusal.js';
 import type * as requestState from '../requestState.js';
 import * as routerState from '../routerState.js';
@@ -166,25 +165,6 @@
   return moveAttempt(noted, attempt, request.id, event);
 };
 
-/** Crashes are told to peers, so that a request which causes them is stopped everywhere. */
-const noteCrash = (
-  current: routerState.RouterState,
-  { request, attempt }: Located,
-  event: events.EventOf<'relayFailed'>,
-): step.Step => {
-  if (event.failure !== 'broken' || !event.hasCrashed) {
-    return step.makeStep(current);
-  }
-  const { fingerprint } = request.shape;
-  const crashes = [`${attempt.upstreamId}@${attempt.startedAtMs}`];
-  const noted = quarantine.addCrashes(current.quarantine, fingerprint, crashes, event.nowMs);
-  const known = noted.suspicions.get(fingerprint)?.crashes ?? crashes;
-  return step.makeStep(
-    { ...current, quarantine: noted },
-    { type: 'broadcastCrashEvidence', fingerprint, crashes: known },
-  );
-};
-
 const FAILURE_CODES: Readonly<Record<events.RelayFailure, shared.errorCodes.ErrorCode>> = {
   unreachable: 'upstreamFailed',
   broken: 'upstreamFailed',
@@ -253,8 +233,7 @@
       notRunCount: relay.notRunCount + Number(event.isNotRun && !event.isUnsent),
     },
   });
-  const crashed = noteCrash(progressed, located, event);
-  const recovered = step.chainStep(crashed, (next) => recoverRequest(next, request.id, event));
+  const recovered = recoverRequest(progressed, request.id, event);
   return step.chainStep(recovered, (next) =>
     dispatch.drainUpstream(next, attempt.upstreamId, event),
   );
--- a/packages/router/__tests__/relayAttempt.spec.ts
+++ b/packages/router/__tests__/relayAttempt.spec.ts
@@ -49,6 +49,7 @@
   rawHeaders: [],
   headers: {},
   body: Buffer.alloc(0),
+  fingerprint: 'f',
   response: new http.ServerResponse(new http.IncomingMessage(new net.Socket())),
   arrivedAtMs: 0,
   attempts: new Map(),
--- a/packages/router/src/relay/relayPending.ts
+++ b/packages/router/src/relay/relayPending.ts
@@ -23,6 +23,8 @@
   readonly rawHeaders: readonly string[];
   readonly headers: platform.callHeaders.ParsedHeaders;
   readonly body: Buffer;
+  /** Hash of method, path, caller and body. */
+  readonly fingerprint: string;
   readonly response: http.ServerResponse;
   readonly arrivedAtMs: number;
   readonly attempts: Map<number, RunningAttempt>;
--- a/packages/router/src/relay/relayRunners.ts
+++ b/packages/router/src/relay/relayRunners.ts
@@ -4,6 +4,7 @@
 import type * as peerService from '../peers/peerService.js';
 import type * as runtime from '../runtime.js';
 import type * as agents from '../upstreams/agents.js';
+import * as attemptFailure from '../upstreams/attemptFailure.js';
 import type * as reachMonitor from './reachMonitor.js';
 import * as relayAttempt from './relayAttempt.js';
 import type * as relayMetrics from './relayMetrics.js';
@@ -32,6 +33,23 @@
   context.metrics.recordEnd(outcome, performance.now() - pending.arrivedAtMs);
 };
 
+/** A process that has ended refuses connections; one that only cut this connection does not. */
+const noteCrash = (
+  context: RelayRunnerContext,
+  upstreamId: string,
+  address: string,
+  fingerprint: string,
+): void => {
+  attemptFailure
+    .isRefusing(address)
+    .then((isRefusing) => {
+      if (isRefusing) {
+        context.node.dispatch({ type: 'crashWitnessed', fingerprint, upstreamId });
+      }
+    })
+    .catch((error: unknown) => context.log.warn({ error, upstreamId }, 'crash not looked into'));
+};
+
 const startAttempt = (
   context: RelayRunnerContext,
   pending: relayPending.RelayPending,
@@ -41,6 +59,7 @@
     return;
   }
   const { requestId, attemptId, upstreamId, address, relay: send } = effect;
+  const { fingerprint } = pending;
   context.reach.recordStart(upstreamId, address);
   const running = relayAttempt.startRelayAttempt(
     context.pools,
@@ -75,8 +94,10 @@
           failure,
           isUnsent,
           isNotRun,
-          hasCrashed: false,
         });
+        if (failure === 'broken' && !isNotRun) {
+          noteCrash(context, upstreamId, address, fingerprint);
+        }
       },
       handleHeard: () => context.reach.recordHeard(upstreamId),
       handleOver: () => context.reach.recordEnd(upstreamId),
--- a/packages/router/src/relay/relayServer.ts
+++ b/packages/router/src/relay/relayServer.ts
@@ -77,11 +77,7 @@
 
 const splitUrl = (url: string): string => url.split('?', 1)[0] ?? url;
 
-const dispatchArrival = (
-  context: RelayServerContext,
-  pending: relayPending.RelayPending,
-  fingerprint: string,
-): void => {
+const dispatchArrival = (context: RelayServerContext, pending: relayPending.RelayPending): void => {
   const call = platform.callHeaders.readCallHeaders(pending.headers);
   context.node.dispatch({
     type: 'relayArrived',
@@ -98,7 +94,7 @@
       parts: call.parts,
       lastEventId: call.lastEventId,
       session: call.session,
-      fingerprint,
+      fingerprint: pending.fingerprint,
     },
     viewAgeMs: context.clock.getAgeMs(),
   });
@@ -129,6 +125,7 @@
     rawHeaders: request.rawHeaders,
     headers: request.headers,
     body,
+    fingerprint: hashRequest(request, call.key, body),
     response,
     arrivedAtMs,
     attempts: new Map(),
@@ -151,7 +148,7 @@
       context.node.dispatch({ type: 'callerGone', requestId: pending.id });
     }
   });
-  dispatchArrival(context, pending, hashRequest(request, call.key, body));
+  dispatchArrival(context, pending);
 };
 
 /** Makes the listener that callers of routes connect to. */
--- a/packages/router/src/upstreams/attemptFailure.ts
+++ b/packages/router/src/upstreams/attemptFailure.ts
@@ -23,8 +23,12 @@
 /** Tells whether an error means that no connection was made, so that nothing was sent. */
 export const isConnectError = (error: unknown): boolean => CONNECT_CODES.has(getCode(error));
 
-/** Tells whether an upstream still accepts connections. */
-export const probeUpstream = (address: string): Promise<boolean> =>
+/** How a try to connect ended. */
+type ProbeResult = 'open' | 'refused' | 'unknown';
+
+const REFUSED_CODE = 'ECONNREFUSED';
+
+const probeConnection = (address: string): Promise<ProbeResult> =>
   new Promise((resolve) => {
     const separator = address.lastIndexOf(':');
     const socket = net.connect({
@@ -32,15 +36,25 @@
       port: Number(address.slice(separator + 1)),
       timeout: PROBE_TIMEOUT_MS,
     });
-    const settle = (isOpen: boolean): void => {
+    const settle = (result: ProbeResult): void => {
       socket.destroy();
-      resolve(isOpen);
+      resolve(result);
     };
-    socket.once('connect', () => settle(true));
-    socket.once('error', () => settle(false));
-    socket.once('timeout', () => settle(false));
+    socket.once('connect', () => settle('open'));
+    socket.once('error', (error) =>
+      settle(getCode(error) === REFUSED_CODE ? 'refused' : 'unknown'),
+    );
+    socket.once('timeout', () => settle('unknown'));
   });
 
+/** Tells whether an upstream still accepts connections. */
+export const probeUpstream = async (address: string): Promise<boolean> =>
+  (await probeConnection(address)) === 'open';
+
+/** Tells whether an upstream's machine answers that nothing listens there. */
+export const isRefusing = async (address: string): Promise<boolean> =>
+  (await probeConnection(address)) === 'refused';
+
 /** Names a broken connection: a crash only if the upstream accepts no new one either. */
 export const classifyBreak = async (address: string, error: unknown): Promise<AttemptFailure> => {
   if (isConnectError(error)) {
--- a/packages/shared/src/errorCodes.ts
+++ b/packages/shared/src/errorCodes.ts
@@ -88,6 +88,11 @@
     notRun: true,
     message: 'this request was present at several upstream crashes and is not run again',
   },
+  heldBack: {
+    status: 503,
+    notRun: true,
+    message: 'this request was present at several upstream crashes and is not run for a while',
+  },
   noRoute: { status: 404, notRun: true, message: 'no route matches the host and path' },
   viewOutdated: {
     status: 503,
