feat(router): routes, upstreams and bounds from files, without a store

Settings of the kind 'routes' name a table of routes (JSON with comments) and the upstreams; the table is followed, an invalid or older one leaves the one in force.

--- a/packages/cli/src/commands/check.ts
+++ b/packages/cli/src/commands/check.ts
@@ -12,6 +12,7 @@
 
 const KINDS: readonly FileKind[] = [
   { name: 'settings', mark: 'platform', schema: shared.settings.settingsSchema },
+  { name: 'table of routes', mark: 'routes', schema: shared.routeTable.routeFileSchema },
   { name: 'plans list', mark: 'plans', schema: shared.lists.plansListSchema },
   { name: 'models list', mark: 'models', schema: shared.lists.modelsListSchema },
 ];
@@ -40,7 +41,9 @@
   const kind = findKind(text);
   if (kind === undefined) {
     const message =
-      text === '' ? 'cannot be read' : 'expected settings, a plans list or a models list';
+      text === ''
+        ? 'cannot be read'
+        : 'expected settings, a table of routes, a plans list or a models list';
     return { file, kind: 'unknown', problems: [{ file, line: 1, field: '(file)', message }] };
   }
   const parsed = shared.jsonc.parseJsonc(file, text, kind.schema);
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -18,6 +18,11 @@
   settings: shared.settings.Settings,
   baseDir: string,
 ): readonly shared.jsonc.FileProblem[] => {
+  if (settings.platform.kind === 'routes') {
+    const file = path.resolve(baseDir, settings.platform.routesFile);
+    const table = shared.jsonc.loadJsonc(file, shared.routeTable.routeFileSchema);
+    return table.ok ? [] : table.error;
+  }
   if (settings.platform.kind !== 'embedded') {
     return [];
   }
@@ -53,8 +58,8 @@
   settings: shared.settings.Settings,
   baseDir: string,
 ): Promise<shared.outcome.Outcome<Running, readonly shared.jsonc.FileProblem[]>> =>
-  settings.platform.kind === 'managed'
-    ? shared.outcome.makeOk(await startRelay.startRelay(settings, settings.platform))
+  settings.platform.kind === 'managed' || settings.platform.kind === 'routes'
+    ? shared.outcome.makeOk(await startRelay.startRelay(settings, settings.platform, baseDir))
     : startRouter.startRouter(settings, settings.platform, baseDir);
 
 const serve = async (
--- a/packages/router/src/openPlatform.ts
+++ b/packages/router/src/openPlatform.ts
@@ -42,7 +42,10 @@
 };
 
 /** Platforms whose services this product calls by its own protocols. */
-export type OwnPlatform = Exclude<shared.settings.PlatformSettings, { kind: 'managed' }>;
+export type OwnPlatform = Extract<
+  shared.settings.PlatformSettings,
+  { kind: 'embedded' | 'service' }
+>;
 
 type Service = Extract<shared.settings.PlatformSettings, { kind: 'service' }>;
 
--- a/packages/router/src/relay/relayRunners.ts
+++ b/packages/router/src/relay/relayRunners.ts
@@ -10,7 +10,7 @@
 import type * as relayMetrics from './relayMetrics.js';
 import type * as relayPending from './relayPending.js';
 import * as relayServer from './relayServer.js';
-import type * as trialRecords from './trialRecords.js';
+import type * as routeSource from './routeSource.js';
 
 /** What the runners of routed requests' effects work with. */
 export interface RelayRunnerContext {
@@ -18,7 +18,7 @@
   readonly pending: Map<string, relayPending.RelayPending>;
   readonly pools: agents.Agents;
   readonly peers: peerService.PeerService;
-  readonly trials: trialRecords.TrialRecords;
+  readonly source: routeSource.RouteSource;
   readonly reach: reachMonitor.ReachMonitor;
   readonly metrics: relayMetrics.RelayMetrics;
   readonly log: pino.Logger;
@@ -173,7 +173,7 @@
       context.peers.broadcastCrashEvidence(effect.fingerprint, effect.crashes),
     sendProbe: (effect) => context.peers.sendProbe(effect),
     sendIndirectProbe: (effect) => context.peers.sendIndirectProbe(effect),
-    settleTrial: (effect) => context.trials.settle(effect),
+    settleTrial: (effect) => context.source.settle(effect),
     log: (effect) => context.log.info(effect.fields, effect.message),
   };
 };
--- a/packages/router/src/relay/startRelay.ts
+++ b/packages/router/src/relay/startRelay.ts
@@ -1,7 +1,6 @@
+import * as path from 'node:path';
 import * as core from '@jayrock/core';
-import * as platform from '@jayrock/platform';
 import * as shared from '@jayrock/shared';
-import type * as stores from '@jayrock/stores';
 import * as fastify from 'fastify';
 import * as pino from 'pino';
 import * as peerHandlers from '../peers/peerHandlers.js';
@@ -10,24 +9,19 @@
 import * as rpcServer from '../peers/rpcServer.js';
 import * as runtime from '../runtime.js';
 import * as agents from '../upstreams/agents.js';
-import * as hostFeed from './hostFeed.js';
-import * as peerFeed from './peerFeed.js';
-import * as prefixFeed from './prefixFeed.js';
+import * as fileSource from './fileSource.js';
 import * as reachMonitor from './reachMonitor.js';
 import * as relayMetrics from './relayMetrics.js';
 import type * as relayPending from './relayPending.js';
 import * as relayRunners from './relayRunners.js';
 import * as relayServer from './relayServer.js';
-import * as trialRecords from './trialRecords.js';
+import type * as routeSource from './routeSource.js';
+import * as storeSource from './storeSource.js';
 import * as trialReports from './trialReports.js';
 import * as viewClock from './viewClock.js';
 
 /** Time between two ticks of the reducer, in milliseconds. */
 const TICK_MS = 200;
-/** Time after which a wait for configuration confirms the one in force, in milliseconds. */
-const CONFIG_WAIT_MS = 1_500;
-/** Time after which a wait for this product's own keys begins anew, in milliseconds. */
-const OWN_WAIT_MS = 10_000;
 /** Part of the bound on withdrawn keys up to which a confirmation counts. */
 const KEY_AGE_SHARE = 0.78;
 /** Part of the bound from which the balancer is asked to send callers elsewhere. */
@@ -49,9 +43,13 @@
   readonly stop: () => Promise<void>;
 }
 
-type ManagedSettings = Extract<shared.settings.PlatformSettings, { kind: 'managed' }>;
+/** Settings of a platform whose requests go by a table of routes. */
+export type RoutedSettings = Extract<
+  shared.settings.PlatformSettings,
+  { kind: 'managed' | 'routes' }
+>;
 
-const makeRelaySettings = (settings: ManagedSettings): core.relayContext.RelaySettings => ({
+const makeRelaySettings = (settings: RoutedSettings): core.relayContext.RelaySettings => ({
   maxKeyAgeMs: settings.bounds.revocationMs * KEY_AGE_SHARE,
   maxDenyAgeMs: settings.bounds.configurationMs * 2,
   repeats: {
@@ -62,13 +60,16 @@
   exposureShare: settings.bounds.exposureShare,
 });
 
+const getLocalAddress = (settings: shared.settings.Settings): string =>
+  shared.settings.parseAddress(settings.peers).host;
+
 const listen = (server: fastify.FastifyInstance, address: string): Promise<string> =>
   server.listen(shared.settings.parseAddress(address));
 
 const makeMetricsServer = (
   node: runtime.Runtime,
   metrics: relayMetrics.RelayMetrics,
-  store: stores.prefixStore.PrefixStore,
+  source: routeSource.RouteSource,
   clock: viewClock.ViewClock,
 ): fastify.FastifyInstance => {
   const server = fastify.fastify({ forceCloseConnections: true });
@@ -83,7 +84,7 @@
         upstreams: state.upstreams.size,
         upstreams_ejected: state.upstreams.count((one) => one.health !== 'ok'),
         peers: core.memberTable.listAlive(state.members).length,
-        store_calls: store.countCalls(),
+        store_calls: source.countCalls(),
         memory_bytes: process.memoryUsage().rss,
       }),
     );
@@ -91,114 +92,154 @@
   return server;
 };
 
-/** Starts a router whose configuration and upstreams come from the platform's store. */
-export const startRelay = async (
+const makeSource = (
+  context: routeSource.SourceContext,
   settings: shared.settings.Settings,
-  managed: ManagedSettings,
-): Promise<RunningRelay> => {
-  const routerId = shared.requestId.makeRequestId();
-  const log = pino.pino({ level: settings.logLevel, base: { router: managed.name } });
-  const localAddress = shared.settings.parseAddress(settings.peers).host;
-  const node = runtime.makeRuntime(
+  platform: RoutedSettings,
+  baseDir: string,
+): routeSource.RouteSource =>
+  platform.kind === 'managed'
+    ? storeSource.makeStoreSource(context, platform.storeAddress, getLocalAddress(settings))
+    : fileSource.makeFileSource(context, {
+        file: path.resolve(baseDir, platform.routesFile),
+        upstreams: platform.upstreams,
+        peers: settings.seedPeers,
+      });
+
+/** What a router in service consists of. */
+interface RelayParts {
+  readonly node: runtime.Runtime;
+  readonly log: pino.Logger;
+  readonly clock: viewClock.ViewClock;
+  readonly source: routeSource.RouteSource;
+  readonly metrics: relayMetrics.RelayMetrics;
+  readonly pending: Map<string, relayPending.RelayPending>;
+  readonly pools: agents.Agents;
+  readonly client: rpcClient.RpcClient;
+  readonly reach: reachMonitor.ReachMonitor;
+  readonly peers: peerService.PeerService;
+}
+
+const makeNode = (settings: shared.settings.Settings, platform: RoutedSettings): runtime.Runtime =>
+  runtime.makeRuntime(
     core.routerState.makeState(
       {
-        routerId,
+        routerId: shared.requestId.makeRequestId(),
         zone: settings.zone,
         address: settings.advertisedPeers ?? settings.peers,
         ledgerCapacity: settings.limits.maxLedgerEntries,
       },
       core.policy.DEFAULT_POLICY,
-      makeRelaySettings(managed),
+      makeRelaySettings(platform),
     ),
   );
+
+const makeParts = (
+  settings: shared.settings.Settings,
+  platform: RoutedSettings,
+  baseDir: string,
+): RelayParts => {
+  const log = pino.pino({ level: settings.logLevel, base: { router: platform.name } });
+  const node = makeNode(settings, platform);
   const clock = viewClock.makeViewClock();
-  const metrics = relayMetrics.makeRelayMetrics();
-  const pending = new Map<string, relayPending.RelayPending>();
-  const pools = agents.makeAgents(localAddress);
-  const store = platform.storeClient.openStoreClient(managed.storeAddress, localAddress);
-  const client = rpcClient.makeRpcClient(settings.peerSecret, localAddress);
-  const reach = reachMonitor.startReachMonitor(node);
-  const peers = peerService.startPeerService(node, client);
-  const trials = trialRecords.makeTrialRecords(node, store, log);
-  node.connect(
-    relayRunners.makeRelayRunners({ node, pending, pools, peers, trials, reach, metrics, log }),
-  );
-  const peerListener = rpcServer.makeRpcServer(
-    settings.peerSecret,
-    peerHandlers.makeMemberHandlers({ node, client, peers }),
-  );
-  let isLeaving = false;
-  let operator: prefixFeed.PrefixFeed | null = null;
-  const maxReadyAgeMs = managed.bounds.revocationMs * READY_AGE_SHARE;
+  const source = makeSource({ node, log, clock }, settings, platform, baseDir);
+  const client = rpcClient.makeRpcClient(settings.peerSecret, getLocalAddress(settings));
+  const parts: RelayParts = {
+    node,
+    log,
+    clock,
+    source,
+    client,
+    metrics: relayMetrics.makeRelayMetrics(),
+    pending: new Map(),
+    pools: agents.makeAgents(getLocalAddress(settings)),
+    reach: reachMonitor.startReachMonitor(node),
+    peers: peerService.startPeerService(node, client),
+  };
+  node.connect(relayRunners.makeRelayRunners(parts));
+  return parts;
+};
+
+/** Opens the listeners for callers, the balancer, peers and operators. */
+const openListeners = async (
+  parts: RelayParts,
+  settings: shared.settings.Settings,
+  platform: RoutedSettings,
+  isLeaving: () => boolean,
+): Promise<readonly fastify.FastifyInstance[]> => {
+  const { node, clock, source } = parts;
+  const maxReadyAgeMs = platform.bounds.revocationMs * READY_AGE_SHARE;
   const isReady = (): boolean =>
-    !isLeaving &&
+    !isLeaving() &&
     node.getState().relay.view !== null &&
     node.getState().upstreams.size > 0 &&
     clock.getAgeMs() <= maxReadyAgeMs;
-  const ready = relayServer.makeReadyServer(isReady);
   const callers = relayServer.makeRelayServer({
     node,
-    pending,
+    pending: parts.pending,
     clock,
-    maxViewAgeMs: managed.bounds.revocationMs * KEY_AGE_SHARE,
-    refreshView: () => operator?.refresh() ?? Promise.resolve(false),
-    isLeaving: () => isLeaving,
+    maxViewAgeMs: platform.bounds.revocationMs * KEY_AGE_SHARE,
+    refreshView: source.refresh,
+    isLeaving,
     limits: {
       maxBodyBytes: settings.limits.maxBodyBytes,
       headersTimeoutMs: settings.limits.headersTimeoutMs,
     },
   });
-  const status = makeMetricsServer(node, metrics, store, clock);
-  const listing = peerFeed.startPeerFeed(node, store, log);
-  const own = prefixFeed.startPrefixFeed(
-    store,
-    { prefix: trialRecords.OWN_PREFIX, waitMs: OWN_WAIT_MS, clock: null },
-    {
-      handleSnapshot: (entries) =>
-        entries.forEach((entry) => {
-          listing.handleChange(entry.key, entry.value);
-          trials.handleRecord(entry.key, entry.value, entry.revision);
-        }),
-      handleChange: (change) => {
-        listing.handleChange(change.key, change.value);
-        trials.handleRecord(change.key, change.value, change.revision);
-      },
-    },
-    log,
-  );
-  const hosts = hostFeed.startHostFeed(node, store, log);
-  const handleOperatorKey = (key: string, value: string | null, revision: number): void => {
-    if (key === platform.wire.KEYS.configuration && value !== null) {
-      const table = trialRecords.readRouteTable(value, log);
-      if (table !== null) {
-        node.dispatch({ type: 'routesAdopted', table });
-      }
-    } else if (key.startsWith(platform.wire.KEYS.rolloutOrders)) {
-      trials.handleOrder(key, value, revision);
-    }
-  };
+  const ready = relayServer.makeReadyServer(isReady);
+  const own = rpcServer.makeRpcServer(settings.peerSecret, peerHandlers.makeMemberHandlers(parts));
+  const status = makeMetricsServer(node, parts.metrics, source, clock);
   await Promise.all([
     listen(callers, settings.callers),
-    listen(ready, managed.readyAddress),
-    listen(peerListener, settings.peers),
+    listen(ready, platform.readyAddress),
+    listen(own, settings.peers),
     listen(status, settings.status),
   ]);
-  // The records of roll-outs tell how far the orders have come, so they are read first.
-  await own.first;
-  operator = prefixFeed.startPrefixFeed(
-    store,
-    { prefix: platform.wire.KEYS.operator, waitMs: CONFIG_WAIT_MS, clock },
-    {
-      handleSnapshot: (entries) =>
-        entries.forEach((entry) => handleOperatorKey(entry.key, entry.value, entry.revision)),
-      handleChange: (change) => handleOperatorKey(change.key, change.value, change.revision),
-    },
-    log,
-  );
+  return [callers, ready, own, status];
+};
+
+/** Tells the balancer and peers, then waits until what was read is answered or the grace is over. */
+const finishWork = async (
+  { pending, source, log }: RelayParts,
+  callers: fastify.FastifyInstance,
+  graceMs: number,
+): Promise<void> => {
+  const startedAtMs = performance.now();
+  log.info({ running: pending.size }, 'router stopping');
+  pending.forEach(({ response }) => {
+    response.shouldKeepAlive = false;
+  });
+  const isOver = (): boolean => performance.now() - startedAtMs > graceMs;
+  source.leave().catch((error: unknown) => log.warn({ error }, 'router not taken off the list'));
+  await shared.delay.wait(LEAVE_BALANCER_MS);
+  const closed = callers.close();
+  while (pending.size > 0 && !isOver()) {
+    // eslint-disable-next-line no-await-in-loop -- each look follows a pause
+    await shared.delay.wait(STOP_POLL_MS);
+  }
+  log.info({ cut: pending.size }, 'router stopped');
+  await Promise.race([closed, shared.delay.wait(STOP_POLL_MS)]);
+};
+
+/** Starts a router of routes, whose table and upstreams come from a store or from files. */
+export const startRelay = async (
+  settings: shared.settings.Settings,
+  platform: RoutedSettings,
+  baseDir = '.',
+): Promise<RunningRelay> => {
+  const parts = makeParts(settings, platform, baseDir);
+  const { node, log, source } = parts;
+  let isLeaving = false;
+  const listeners = await openListeners(parts, settings, platform, () => isLeaving);
+  const [callers] = listeners;
+  await source.start();
   const ticks = setInterval(() => node.dispatch({ type: 'ticked' }), TICK_MS);
-  const stopReports = trialReports.startTrialReports(node, client);
+  const stopReports = trialReports.startTrialReports(node, parts.client);
   node.dispatch({ type: 'probeDue' });
-  log.info({ callers: settings.callers, routerId }, 'router started');
+  log.info(
+    { callers: settings.callers, routerId: node.getState().self.routerId },
+    'router started',
+  );
 
   let isClosed = false;
   const close = async (): Promise<void> => {
@@ -206,41 +247,25 @@
       return;
     }
     isClosed = true;
-    [hosts, own, operator].forEach((feed) => feed?.stop());
     clearInterval(ticks);
     stopReports();
-    listing.stop();
-    reach.stop();
-    peers.stop();
-    callers.server.closeAllConnections();
-    await Promise.all([callers, ready, status, peerListener].map((server) => server.close()));
-    await Promise.all([pools.close(), client.close(), store.close()]);
-  };
-  const stop = async (): Promise<void> => {
-    const startedAtMs = performance.now();
-    log.info({ running: pending.size }, 'router stopping');
-    isLeaving = true;
-    pending.forEach(({ response }) => {
-      response.shouldKeepAlive = false;
-    });
-    const graceMs = managed.bounds.graceMs * GRACE_SHARE;
-    const isOver = (): boolean => performance.now() - startedAtMs > graceMs;
-    listing.leave().catch((error: unknown) => log.warn({ error }, 'router not taken off the list'));
-    await shared.delay.wait(LEAVE_BALANCER_MS);
-    const closed = callers.close();
-    while (pending.size > 0 && !isOver()) {
-      // eslint-disable-next-line no-await-in-loop -- each look follows a pause
-      await shared.delay.wait(STOP_POLL_MS);
-    }
-    log.info({ cut: pending.size }, 'router stopped');
-    await Promise.race([closed, shared.delay.wait(STOP_POLL_MS)]);
-    await close();
+    parts.reach.stop();
+    parts.peers.stop();
+    callers?.server.closeAllConnections();
+    await Promise.all(listeners.map((server) => server.close()));
+    await Promise.all([parts.pools.close(), parts.client.close(), source.stop()]);
   };
   return {
-    stop,
+    stop: async () => {
+      isLeaving = true;
+      if (callers !== undefined) {
+        await finishWork(parts, callers, platform.bounds.graceMs * GRACE_SHARE);
+      }
+      await close();
+    },
     close,
     reload: (changed) => {
-      if (changed.platform.kind === 'managed') {
+      if (changed.platform.kind === platform.kind) {
         const next = makeRelaySettings(changed.platform);
         node.dispatch({ type: 'relaySettingsChanged', settings: next });
         log.info({ settings: next }, 'settings taken over');
--- a/packages/shared/src/routeTable.ts
+++ b/packages/shared/src/routeTable.ts
@@ -92,6 +92,36 @@
 
 /** Routes by host and path, the services behind them, and the keys of organisations. */
 export type RouteTable = zod.infer<typeof routeTableSchema>;
+/** A reference of a table to something it does not hold. */
+interface BrokenReference {
+  readonly path: readonly (string | number)[];
+  readonly message: string;
+}
+
+const listBrokenReferences = ({ routes, services }: RouteTable): readonly BrokenReference[] => {
+  const known = new Map(services.map((one) => [one.name, one]));
+  return routes.flatMap(({ targets, sizes }, index) =>
+    targets.flatMap((one, position): readonly BrokenReference[] => {
+      const found = known.get(one.service);
+      const path = ['routes', index, 'targets', position, 'service'];
+      if (found === undefined) {
+        return [{ path, message: `no service is named "${one.service}"` }];
+      }
+      const models = found.engine?.models.map((model) => model.name) ?? [];
+      return sizes
+        .filter((size) => !models.includes(size))
+        .map((size) => ({ path, message: `service "${one.service}" has no model "${size}"` }));
+    }),
+  );
+};
+
+/** Schema of a table of routes in a file, whose references are checked as well. */
+export const routeFileSchema = routeTableSchema.superRefine((table, context) => {
+  listBrokenReferences(table).forEach(({ path, message }) =>
+    context.addIssue({ code: 'custom', path: [...path], message }),
+  );
+});
+
 /** One route. */
 export type Route = RouteTable['routes'][number];
 /** One service behind routes. */
--- a/packages/shared/src/settings.ts
+++ b/packages/shared/src/settings.ts
@@ -8,6 +8,18 @@
   .strictObject({ id: zod.string().min(1), address, zone: zod.string(), service: zod.string() })
   .readonly();
 
+const routedUpstream = zod
+  .strictObject({
+    id: zod.string().min(1),
+    address,
+    zone: zod.string().min(1),
+    service: zod.string().min(1),
+    version: zod.string().min(1).default('1'),
+    /** Requests the upstream serves at once. */
+    slots: zod.number().int().positive().default(64),
+  })
+  .readonly();
+
 const bounds = zod
   .strictObject({
     /** Time after which a withdrawn key must not be accepted anywhere, in milliseconds. */
@@ -48,6 +60,19 @@
         ratingAddress: address.optional(),
       })
       .readonly(),
+    zod
+      .strictObject({
+        kind: zod.literal('routes'),
+        /** Name of this router in logs. */
+        name: zod.string().min(1),
+        /** Path of the table of routes, relative to the settings file. */
+        routesFile: zod.string().min(1),
+        upstreams: zod.array(routedUpstream).readonly(),
+        /** Listener that tells the balancer whether new connections are welcome. */
+        readyAddress: address,
+        bounds: bounds.prefault({}),
+      })
+      .readonly(),
     zod
       .strictObject({
         kind: zod.literal('managed'),
@@ -116,5 +141,7 @@
 export type Settings = zod.infer<typeof settingsSchema>;
 /** The platform part of the settings. */
 export type PlatformSettings = zod.infer<typeof platform>;
+/** One upstream behind routes, as settings name it. */
+export type RoutedUpstream = zod.infer<typeof routedUpstream>;
 /** Limits of one router. */
 export type LimitSettings = zod.infer<typeof limits>;
