feat(core): roll-out evidence by zone in large fleets, changes of the store gathered

Every router told every other of a roll-out each 400 ms (n squared, 185 calls a second out and in), and every router's entry at start answered every other's wait on the product's own keys (n squared). Changes of own keys are gathered for 500 ms, those of upstreams for 200 ms, after the first. Ruled out: membership (a bounded number of probes a second) and the cost of start-up (0.4 s each). Tests: trialReports.spec (messages grow with the fleet, all zones find a bad version together, each answer counts once).

--- /dev/null
+++ b/packages/core/__tests__/trialReports.spec.ts
@@ -0,0 +1,116 @@
+import test from 'ava';
+import * as core from '../src/index.js';
+
+const ORDER: core.versionTrial.VersionOrder = {
+  service: 'desk',
+  to: 'v2',
+  periodMs: 20_000,
+  revision: 1,
+};
+const ZONES = ['a', 'b', 'c', 'd'] as const;
+
+type Fleet = Map<string, core.routerState.RouterState>;
+
+const sendEvent = (
+  fleet: Fleet,
+  address: string,
+  event: core.events.EventBody,
+  nowMs = 1,
+): void => {
+  const state = fleet.get(address);
+  if (state !== undefined) {
+    const stamped = { ...event, nowMs, random: 0.5 } as core.events.Event;
+    fleet.set(address, core.reduce.reduce(state, stamped).state);
+  }
+};
+
+/** Makes routers that know each other and a roll-out. */
+const makeFleet = (size: number): Fleet => {
+  const members = Array.from({ length: size }, (_, index): core.member.MemberUpdate => {
+    const id = `r${index}`;
+    const zone = ZONES[index % ZONES.length] ?? 'a';
+    return { id, address: `${id}:1`, zone, status: 'alive', incarnation: 1 };
+  });
+  const fleet: Fleet = new Map(
+    members.map(({ id, address, zone }) => [
+      address,
+      core.routerState.makeState(
+        { routerId: id, zone, address, ledgerCapacity: 10 },
+        core.policy.DEFAULT_POLICY,
+      ),
+    ]),
+  );
+  members.forEach(({ id, address }) => {
+    const others = members.filter((one) => one.id !== id);
+    const [self] = others;
+    if (self !== undefined) {
+      const greeting = { self, updates: others, generation: 0, confirmedAgeMs: 0 };
+      sendEvent(fleet, address, { type: 'greetingReceived', greeting });
+    }
+    sendEvent(fleet, address, { type: 'trialSeen', order: ORDER, stage: 'running', elapsedMs: 0 });
+  });
+  return fleet;
+};
+
+/** Tells every router of answers that it counted itself, by the way a peer's report takes. */
+const countAnswers = (fleet: Fleet, failures: number): void =>
+  fleet.forEach((state, address) => {
+    const row: core.trialEvidence.EvidenceRow = {
+      epoch: 0,
+      kind: 'read|',
+      isNew: true,
+      answers: 1,
+      failures,
+      logSum: 0,
+      logSquareSum: 0,
+      timed: 0,
+    };
+    sendEvent(fleet, address, {
+      type: 'trialTold',
+      source: state.self.routerId,
+      service: ORDER.service,
+      revision: ORDER.revision,
+      isBad: false,
+      rows: [row],
+      oldRunning: 0,
+    });
+  });
+
+/** Delivers one round of reports; returns how many there were. */
+const pushReports = (fleet: Fleet): number => {
+  const planned = Array.from(fleet.values()).flatMap((state) =>
+    core.trialReports.planReports(state, 500),
+  );
+  planned.forEach(({ address, report }) =>
+    sendEvent(fleet, address, { type: 'trialTold', ...report }),
+  );
+  return planned.length;
+};
+
+const countBad = (fleet: Fleet): number =>
+  Array.from(fleet.values()).filter((state) => state.relay.trials.get(ORDER.service)?.isBad).length;
+
+test('reports of a large fleet grow with its size, not with its square', (t) => {
+  const [small, large] = [40, 160].map((size) => pushReports(makeFleet(size)));
+  t.true((large ?? Infinity) <= 5 * (small ?? 0), `${small} and ${large}`);
+});
+
+test('routers of all zones together find a bad version that none could find alone', (t) => {
+  [8, 40].forEach((size) => {
+    const fleet = makeFleet(size);
+    countAnswers(fleet, 1);
+    t.is(countBad(fleet), 0);
+    [1, 2, 3].forEach(() => pushReports(fleet));
+    t.true(countBad(fleet) > 0, `${size} routers`);
+  });
+});
+
+test('an answer counts once, however often the zones exchange their sums', (t) => {
+  const fleet = makeFleet(40);
+  countAnswers(fleet, 0);
+  [1, 2, 3, 4].forEach(() => pushReports(fleet));
+  fleet.forEach((state) => {
+    const rows = state.relay.trials.get(ORDER.service)?.rows.valueSeq().toArray() ?? [];
+    t.true(core.trialEvidence.sumRows(rows.map(({ row }) => row)).answers <= 40);
+  });
+});
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -4,7 +4,6 @@
 import type * as member from './membership/member.js';
 import type * as relayContext from './relay/relayContext.js';
 import type * as relayState from './relay/relayState.js';
-import type * as trialEvidence from './relay/trialEvidence.js';
 import type * as versionTrial from './relay/versionTrial.js';
 import type * as requestState from './requestState.js';
 import type * as versionId from './versionId.js';
@@ -161,14 +160,7 @@
     /** Time since the order was first seen by any router, in milliseconds. */
     readonly elapsedMs: number;
   };
-  readonly trialTold: {
-    readonly source: string;
-    readonly service: string;
-    readonly revision: number;
-    readonly isBad: boolean;
-    readonly rows: readonly trialEvidence.EvidenceRow[];
-    readonly oldRunning: number;
-  };
+  readonly trialTold: versionTrial.TrialReport;
   readonly ticked: Readonly<Record<never, never>>;
   readonly stopRequested: Readonly<Record<never, never>>;
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -24,6 +24,7 @@
 export * as sendBudget from './relay/sendBudget.js';
 export * as sequentialTest from './sequentialTest.js';
 export * as step from './step.js';
+export * as trialReports from './relay/trialReports.js';
 export * as trialEvidence from './relay/trialEvidence.js';
 export * as versionTrial from './relay/versionTrial.js';
 export * as versionId from './versionId.js';
--- a/packages/core/src/membership/duties.ts
+++ b/packages/core/src/membership/duties.ts
@@ -3,7 +3,8 @@
 import * as memberTable from './memberTable.js';
 
 /** Tasks that a few routers of a zone do for all of it. */
-export type Duty = 'configWatch' | 'ledgerCollector' | 'ratingAggregator' | 'engineOrders';
+export type Duty =
+  'configWatch' | 'ledgerCollector' | 'ratingAggregator' | 'engineOrders' | 'trialEvidence';
 
 const findByIds = (
   candidates: readonly member.MemberUpdate[],
--- a/packages/core/src/relay/trialEvidence.ts
+++ b/packages/core/src/relay/trialEvidence.ts
@@ -67,6 +67,19 @@
     EMPTY_TOTALS,
   );
 
+/** Adds up rows of one epoch, kind and version that several routers have counted. */
+export const mergeRows = (rows: readonly EvidenceRow[]): readonly EvidenceRow[] => {
+  const groups = new Map<string, EvidenceRow[]>();
+  rows.forEach((row) => {
+    const key = `${row.epoch}|${row.kind}|${row.isNew}`;
+    groups.set(key, [...(groups.get(key) ?? []), row]);
+  });
+  return Array.from(groups.values()).flatMap((group) => {
+    const [first] = group;
+    return first === undefined ? [] : [{ ...first, ...sumRows(group) }];
+  });
+};
+
 const estimateFailureShare = (old: EvidenceTotals): number =>
   (old.failures + PRIOR_FAILURE_SHARE * PRIOR_ANSWERS) / (old.answers + PRIOR_ANSWERS);
 
--- a/packages/core/src/relay/versionTrial.ts
+++ b/packages/core/src/relay/versionTrial.ts
@@ -38,6 +38,17 @@
   readonly row: trialEvidence.EvidenceRow;
 }
 
+/** What one router tells another of a version on trial. */
+export interface TrialReport {
+  /** Router that counted the rows, or the zone whose routers did. */
+  readonly source: string;
+  readonly service: string;
+  readonly revision: number;
+  readonly isBad: boolean;
+  readonly rows: readonly trialEvidence.EvidenceRow[];
+  readonly oldRunning: number;
+}
+
 /** Requests a router still runs on versions that a roll-out replaces. */
 export interface RunningReport {
   readonly count: number;
--- a/packages/router/src/peers/messages.ts
+++ b/packages/router/src/peers/messages.ts
@@ -53,14 +53,7 @@
     readonly result: null;
   };
   readonly pushTrial: {
-    readonly params: {
-      readonly source: string;
-      readonly service: string;
-      readonly revision: number;
-      readonly isBad: boolean;
-      readonly rows: readonly core.trialEvidence.EvidenceRow[];
-      readonly oldRunning: number;
-    };
+    readonly params: core.versionTrial.TrialReport;
     readonly result: null;
   };
   readonly pushLoads: {
--- a/packages/router/src/relay/hostFeed.ts
+++ b/packages/router/src/relay/hostFeed.ts
@@ -6,6 +6,8 @@
 
 /** Time without changes after which the list is confirmed, in milliseconds. */
 const WAIT_MS = 2_500;
+/** Pause after changes: entries change with every order an upstream takes, and many at once. */
+const GATHER_MS = 200;
 /** Time after an outage of the store in which lapsed entries come back, in milliseconds. */
 const RETURN_MS = 1_900;
 
@@ -53,7 +55,7 @@
   };
   const feed = prefixFeed.startPrefixFeed(
     store,
-    { prefix: platform.wire.KEYS.upstreams, waitMs: WAIT_MS, clock: null },
+    { prefix: platform.wire.KEYS.upstreams, waitMs: WAIT_MS, gatherMs: GATHER_MS, clock: null },
     {
       handleSnapshot: (entries) => {
         const listed = new Set(entries.map((entry) => entry.key));
--- a/packages/router/src/relay/prefixFeed.ts
+++ b/packages/router/src/relay/prefixFeed.ts
@@ -26,6 +26,8 @@
   readonly prefix: string;
   /** Time after which a wait without changes confirms what is known, in milliseconds. */
   readonly waitMs: number;
+  /** Pause after changes, in which further ones gather for one answer, in milliseconds. */
+  readonly gatherMs: number;
   /** Records confirmations, where their age matters. */
   readonly clock: viewClock.ViewClock | null;
 }
@@ -41,7 +43,7 @@
   listener: PrefixListener,
   log: pino.Logger,
 ): PrefixFeed => {
-  const { prefix, waitMs, clock } = options;
+  const { prefix, waitMs, gatherMs, clock } = options;
   let isStopped = false;
   let failures = 0;
   let failedAtMs = -Infinity;
@@ -117,6 +119,9 @@
         const isEmpty = waited.value.changes.length === 0;
         clock?.confirm(reading, isEmpty ? waitMs : 0);
       }
+      if (waited.value.changes.length > 0 && gatherMs > 0) {
+        await shared.delay.wait(gatherMs);
+      }
     } else if (waited.error === 'compacted') {
       log.info({ prefix, after }, 'history is gone, reading anew');
       revision = null;
--- a/packages/router/src/relay/storeSource.ts
+++ b/packages/router/src/relay/storeSource.ts
@@ -9,6 +9,8 @@
 const CONFIG_WAIT_MS = 1_500;
 /** Time after which a wait for this product's own keys begins anew, in milliseconds. */
 const OWN_WAIT_MS = 10_000;
+/** Pause after changes of own keys: all routers list themselves when a site starts. */
+const OWN_GATHER_MS = 500;
 
 /** Makes a source that follows the platform's store. */
 export const makeStoreSource = (
@@ -54,14 +56,19 @@
     start: async () => {
       listing = peerFeed.startPeerFeed(node, store, log);
       const own = follow(
-        { prefix: trialRecords.OWN_PREFIX, waitMs: OWN_WAIT_MS, clock: null },
+        {
+          prefix: trialRecords.OWN_PREFIX,
+          waitMs: OWN_WAIT_MS,
+          gatherMs: OWN_GATHER_MS,
+          clock: null,
+        },
         handleOwnKey,
       );
       feeds = [own, hostFeed.startHostFeed(node, store, log)];
       // The records of roll-outs tell how far the orders have come, so they are read first.
       await own.first;
       operator = follow(
-        { prefix: platform.wire.KEYS.operator, waitMs: CONFIG_WAIT_MS, clock },
+        { prefix: platform.wire.KEYS.operator, waitMs: CONFIG_WAIT_MS, gatherMs: 0, clock },
         handleOperatorKey,
       );
     },
