--- a/packages/core/src/relay/longPrompts.ts
+++ b/packages/core/src/relay/longPrompts.ts
@@ -1,19 +1,18 @@
 import * as shared from '@jayrock/shared';
 import type * as upstreamState from '../upstreamState.js';
+import * as relayContext from './relayContext.js';
 
 /** Part of the upstreams of a zone and version that take long prompts first. */
 const LONG_SHARE = 0.4;
 /** Time to read a prompt from which it holds up what runs beside it, in milliseconds. */
 const LONG_READ_MS = 150;
-/** Prompt tokens of one unit of the typical time to an answer's head. */
-const TOKENS_PER_UNIT = 500;
 
 /**
  * Tells whether an engine will be busy with a prompt for so long that other callers notice; `unitMs` is the
  * typical time of the model for one unit, or null while it is not known.
  */
 export const isLongPrompt = (tokens: number, unitMs: number | null): boolean =>
-  unitMs !== null && (tokens / TOKENS_PER_UNIT) * unitMs > LONG_READ_MS;
+  unitMs !== null && (tokens / relayContext.TOKENS_PER_UNIT) * unitMs > LONG_READ_MS;
 
 /**
  * Lists the upstreams that all routers give long prompts first. Routers cannot see each other's prompts in
--- a/packages/core/src/relay/relayAnswers.ts
+++ b/packages/core/src/relay/relayAnswers.ts
@@ -49,15 +49,12 @@
   return { ...current, relay: { ...current.relay, trials } };
 };
 
-/** Prompt tokens that take as long as everything else before the first event. */
-const TOKENS_PER_UNIT = 500;
-
 const recordHead = (
   current: routerState.RouterState,
   { request, relay, attempt }: relayRetry.Located,
   nowMs: number,
 ): routerState.RouterState => {
-  const units = 1 + attempt.prefillTokens / TOKENS_PER_UNIT;
+  const units = 1 + attempt.prefillTokens / relayContext.TOKENS_PER_UNIT;
   const unitMs = (nowMs - attempt.startedAtMs) / units;
   const typicalMs = relayContext.getTypicalMs(
     current.relay,
--- a/packages/core/src/relay/relayContext.ts
+++ b/packages/core/src/relay/relayContext.ts
@@ -59,6 +59,12 @@
 export const getWindow = (context: RelayContext, service: string): sendBudget.SendWindow =>
   context.windows.get(service) ?? sendBudget.EMPTY_WINDOW;
 
+/**
+ * Prompt tokens that take as long as everything else before the first event; the time to a head is learned for
+ * units of this size.
+ */
+export const TOKENS_PER_UNIT = 500;
+
 /** Weight of one sample in a typical time. */
 const TYPICAL_WEIGHT = 0.05;
 
--- a/packages/core/src/relay/relayPlacement.ts
+++ b/packages/core/src/relay/relayPlacement.ts
@@ -45,7 +45,7 @@
   /** Time a stream of the wanted model takes on an upstream of usual pace, in milliseconds. */
   readonly streamMs: number;
   /** True if reading the prompt holds up what runs beside it. */
-  readonly isLong: boolean;
+  readonly hasLongPrompt: boolean;
   /** Upstreams that take long prompts first. */
   readonly longHosts: ReadonlySet<string>;
 }
@@ -181,7 +181,7 @@
   const pace = upstream.eventSlowness.count === 0 ? 1 : upstream.eventSlowness.value;
   const leftMs = Math.max(1, query.request.deadlineAtMs - nowMs);
   const duration = (query.streamMs * pace * DURATION_PENALTY) / leftMs;
-  const length = query.longHosts.has(upstream.host.id) === query.isLong ? 0 : LENGTH_PENALTY;
+  const length = query.longHosts.has(upstream.host.id) === query.hasLongPrompt ? 0 : LENGTH_PENALTY;
   return (
     (load + reading) * getSlowness(upstream, nowMs) + duration + reread + zone + length + spread
   );
@@ -233,7 +233,7 @@
   const scored: ScoredQuery = {
     ...query,
     streamMs,
-    isLong: longPrompts.isLongPrompt(query.relay.call.tokensIn, unitMs),
+    hasLongPrompt: longPrompts.isLongPrompt(query.relay.call.tokensIn, unitMs),
     longHosts: longPrompts.listLongHosts(upstreams),
   };
   return pickBest(current, isLastResort ? usable : healthy, scored, home);
