--- a/packages/core/src/relay/versionTrial.ts
+++ b/packages/core/src/relay/versionTrial.ts
@@ -68,8 +68,11 @@
 const TAIL_PART = 0.4;
 /** Part of the period left once all traffic has been evidence for a while, as a part of the allowed share. */
 const END_PART = 0.27;
-/** Time left at which it ends even if old requests still run, in milliseconds: the record has to be written. */
-const LATEST_LEFT_MS = 600;
+/**
+ * Time left at which it ends even if old requests still run, in milliseconds: the order may have been seen late,
+ * and the record has to be written and the old versions stopped in time.
+ */
+const LATEST_LEFT_MS = 800;
 /** Time for which old versions must have been idle before they may stop, in milliseconds. */
 const IDLE_REPORT_MS = 2_500;
 
