test: one fixture for a router's settings, one way to wait until something holds

Three specs held the same settings and two the same waiting loop beside control.waitUntil, which now takes questions that need a while as well. No assertion is changed.

--- a/packages-private/measure/__tests__/routedSite.ts
+++ b/packages-private/measure/__tests__/routedSite.ts
@@ -3,6 +3,7 @@
 import * as router from '@jayrock/router';
 import * as shared from '@jayrock/shared';
 import * as standIns from '@jayrock/stand-ins';
+import * as routerSettings from './routerSettings.js';
 
 const H = platform.wire.HEADERS;
 
@@ -164,21 +165,18 @@
   };
   upstreams.forEach((_, index) => listUpstream(index));
   store.put(platform.wire.KEYS.configuration, makeConfiguration(1));
-  const settings = shared.settings.settingsSchema.parse({
-    zone: 'a',
-    callers: `${ip}:7401`,
-    peers: `${ip}:7402`,
-    status: `${ip}:7403`,
-    peerSecret: 'a-secret-of-the-tests',
-    platform: {
-      kind: 'managed',
-      name: 'r-1',
-      storeAddress: store.address,
-      readyAddress: `${ip}:7404`,
-      bounds: { graceMs: 6_000, repeatShare: 2, repeatSlack: 100, ...bounds },
-    },
-    logLevel: 'silent',
-  });
+  const settings = shared.settings.settingsSchema.parse(
+    routerSettings.makeRouterSettings(
+      ip,
+      {
+        kind: 'managed',
+        storeAddress: store.address,
+
+        bounds: { graceMs: 6_000, repeatShare: 2, repeatSlack: 100, ...bounds },
+      },
+      { logLevel: 'silent' },
+    ),
+  );
   if (settings.platform.kind !== 'managed') {
     throw new Error('expected managed settings');
   }
--- a/packages-private/measure/__tests__/routerProcess.spec.ts
+++ b/packages-private/measure/__tests__/routerProcess.spec.ts
@@ -7,6 +7,7 @@
 import * as platform from '@jayrock/platform';
 import * as standIns from '@jayrock/stand-ins';
 import * as undici from 'undici';
+import * as routerSettings from './routerSettings.js';
 
 const IP = '127.0.21.9';
 const ROUTER = module.createRequire(import.meta.url).resolve('@jayrock/router');
@@ -26,29 +27,13 @@
   services: [{ name: 'desk' }],
 };
 
-const makeSettings = (upstream: string, bounds: object): object => ({
-  zone: 'a',
-  callers: `${IP}:7401`,
-  peers: `${IP}:7402`,
-  status: `${IP}:7403`,
-  peerSecret: 'a-secret-of-the-tests',
-  platform: {
+const makeSettings = (upstream: string, bounds: object): object =>
+  routerSettings.makeRouterSettings(IP, {
     kind: 'routes',
-    name: 'r-1',
     routesFile: 'routes.jsonc',
     upstreams: [{ id: 'u-0', address: upstream, zone: 'a', service: 'desk' }],
-    readyAddress: `${IP}:7404`,
     bounds,
-  },
-});
-
-const waitFor = async (isDone: () => boolean | Promise<boolean>): Promise<void> => {
-  // eslint-disable-next-line no-await-in-loop -- each look follows a pause
-  while (!(await isDone())) {
-    // eslint-disable-next-line no-await-in-loop -- each look follows a pause
-    await standIns.control.wait(20);
-  }
-};
+  });
 
 const getStatus = async (address: string): Promise<number> => {
   const headers = { [platform.wire.HEADERS.requestId]: 'q1' };
@@ -77,20 +62,24 @@
   const ended = new Promise<number | null>((resolve) => {
     child.once('exit', (code) => resolve(code));
   });
-  await waitFor(async () => (await getStatus(`http://${IP}:7404/readyz`)) === 200);
+  await standIns.control.waitUntil(
+    async () => (await getStatus(`http://${IP}:7404/readyz`)) === 200,
+  );
   t.is(await getStatus(`http://${IP}:7401/`), 200);
 
   writeSettings({ repeatSlack: 77 });
   child.kill('SIGHUP');
-  await waitFor(() => output.includes('"slack":77'));
+  await standIns.control.waitUntil(() => output.includes('"slack":77'));
 
   writeSettings({ repeatSlack: 'many' });
   child.kill('SIGHUP');
-  await waitFor(() => output.includes('platform.bounds.repeatSlack'));
+  await standIns.control.waitUntil(() => output.includes('platform.bounds.repeatSlack'));
   t.is(await getStatus(`http://${IP}:7401/`), 200);
 
   child.kill('SIGTERM');
-  await waitFor(async () => (await getStatus(`http://${IP}:7404/readyz`)) !== 200);
+  await standIns.control.waitUntil(
+    async () => (await getStatus(`http://${IP}:7404/readyz`)) !== 200,
+  );
   t.is(await ended, 0);
   await upstream.close();
   fs.rmSync(dir, { recursive: true });
--- /dev/null
+++ b/packages-private/measure/__tests__/routerSettings.ts
@@ -0,0 +1,10 @@
+/** Makes the settings of a router of routes on one loopback address, as a settings file holds them. */
+export const makeRouterSettings = (ip: string, platform: object, change: object = {}): object => ({
+  zone: 'a',
+  callers: `${ip}:7401`,
+  peers: `${ip}:7402`,
+  status: `${ip}:7403`,
+  peerSecret: 'a-secret-of-the-tests',
+  platform: { name: 'r-1', readyAddress: `${ip}:7404`, ...platform },
+  ...change,
+});
--- a/packages-private/measure/__tests__/routesFile.spec.ts
+++ b/packages-private/measure/__tests__/routesFile.spec.ts
@@ -7,6 +7,7 @@
 import * as shared from '@jayrock/shared';
 import * as standIns from '@jayrock/stand-ins';
 import * as undici from 'undici';
+import * as routerSettings from './routerSettings.js';
 
 const H = platform.wire.HEADERS;
 
@@ -38,21 +39,17 @@
     );
   writeTable(makeTable(1, '/read/'));
   const upstream = await standIns.routedUpstream.startRoutedUpstream('u-0');
-  const settings = shared.settings.settingsSchema.parse({
-    zone: 'a',
-    callers: `${ip}:7401`,
-    peers: `${ip}:7402`,
-    status: `${ip}:7403`,
-    peerSecret: 'a-secret-of-the-tests',
-    platform: {
-      kind: 'routes',
-      name: 'r-1',
-      routesFile: 'routes.jsonc',
-      upstreams: [{ id: upstream.id, address: upstream.address, zone: 'a', service: 'desk' }],
-      readyAddress: `${ip}:7404`,
-    },
-    logLevel: 'silent',
-  });
+  const settings = shared.settings.settingsSchema.parse(
+    routerSettings.makeRouterSettings(
+      ip,
+      {
+        kind: 'routes',
+        routesFile: 'routes.jsonc',
+        upstreams: [{ id: upstream.id, address: upstream.address, zone: 'a', service: 'desk' }],
+      },
+      { logLevel: 'silent' },
+    ),
+  );
   if (settings.platform.kind !== 'routes') {
     throw new Error('expected settings with routes');
   }
@@ -78,21 +75,13 @@
   };
 };
 
-const waitFor = async (isDone: () => Promise<boolean>): Promise<void> => {
-  // eslint-disable-next-line no-await-in-loop -- each look follows a pause
-  while (!(await isDone())) {
-    // eslint-disable-next-line no-await-in-loop -- each look follows a pause
-    await standIns.control.wait(20);
-  }
-};
-
 test('routes and keys of a file are served without a store, and a newer table is taken over', async (t) => {
   const site = await startFileSite('127.0.21.1');
   t.is(await site.call('/read/x'), 200);
   t.is(await site.call('/read/x', 'unknown'), 401);
   t.is(await site.call('/other/x'), 404);
   site.writeTable(makeTable(2, '/other/'));
-  await waitFor(async () => (await site.call('/other/x')) === 200);
+  await standIns.control.waitUntil(async () => (await site.call('/other/x')) === 200);
   t.is(await site.call('/read/x'), 404);
   await site.close();
 });
--- a/packages-private/stand-ins/src/control.ts
+++ b/packages-private/stand-ins/src/control.ts
@@ -36,8 +36,9 @@
 const POLL_MS = 5;
 
 /** Waits until a condition holds, looking every few milliseconds. */
-export const waitUntil = async (isDone: () => boolean): Promise<void> => {
-  while (!isDone()) {
+export const waitUntil = async (isDone: () => boolean | Promise<boolean>): Promise<void> => {
+  // eslint-disable-next-line no-await-in-loop -- each look follows a pause
+  while (!(await isDone())) {
     // eslint-disable-next-line no-await-in-loop -- each look follows a pause
     await wait(POLL_MS);
   }
