--- a/packages/core/src/attempts.ts
+++ b/packages/core/src/attempts.ts
@@ -1,9 +1,11 @@
 import type * as effects from './effects.js';
 import * as completion from './completion.js';
+import * as crashEvidence from './crashEvidence.js';
 import * as dispatch from './dispatch.js';
 import type * as events from './events.js';
 import * as health from './health.js';
 import * as laneState from './laneState.js';
+import * as locatedAttempt from './locatedAttempt.js';
 import * as quarantine from './quarantine.js';
 import * as recovery from './recovery.js';
 import * as refusal from './refusal.js';
@@ -14,24 +16,9 @@
 import * as step from './step.js';
 import * as upstreamState from './upstreamState.js';
 
-interface Located {
-  readonly request: requestState.RequestState;
-  readonly attempt: requestState.Attempt;
-}
-
-/** Finds the attempt an event speaks of; late events of ended attempts find nothing. */
-const findAttempt = (
-  current: routerState.RouterState,
-  event: { readonly requestId: string; readonly attemptId: number },
-): Located | null => {
-  const request = current.requests.get(event.requestId);
-  const attempt = request?.attempts.find((item) => item.id === event.attemptId);
-  return request === undefined || attempt === undefined ? null : { request, attempt };
-};
-
 const recordTiming = (
   current: routerState.RouterState,
-  { request, attempt }: Located,
+  { request, attempt }: locatedAttempt.Located,
   nowMs: number,
 ): routerState.RouterState => {
   const elapsedMs = (nowMs - attempt.startedAtMs) / dispatch.getSizeFactor(request.shape);
@@ -50,7 +37,7 @@
 
 const cancelOthers = (
   current: routerState.RouterState,
-  { request, attempt }: Located,
+  { request, attempt }: locatedAttempt.Located,
   stamp: events.Stamp,
 ): step.Step =>
   slots.cancelAttempts(
@@ -60,7 +47,10 @@
     stamp,
   );
 
-const markRelayed = (current: routerState.RouterState, { request, attempt }: Located): step.Step =>
+const markRelayed = (
+  current: routerState.RouterState,
+  { request, attempt }: locatedAttempt.Located,
+): step.Step =>
   step.makeStep(routerState.setRequest(current, { ...request, relayedAttempt: attempt.id }), {
     type: 'relayAttempt',
     requestId: request.id,
@@ -71,7 +61,7 @@
 
 const chooseAttempt = (
   current: routerState.RouterState,
-  located: Located,
+  located: locatedAttempt.Located,
   stamp: events.Stamp,
 ): step.Step =>
   step.chainStep(markRelayed(current, located), (next) => cancelOthers(next, located, stamp));
@@ -80,7 +70,7 @@
   current: routerState.RouterState,
   event: events.EventOf<'attemptFirstToken'>,
 ): step.Step => {
-  const located = findAttempt(current, event);
+  const located = locatedAttempt.findAttempt(current, event);
   if (located === null || located.request.relayedAttempt !== null) {
     return step.makeStep(current);
   }
@@ -91,7 +81,7 @@
   current: routerState.RouterState,
   event: events.EventOf<'attemptEnded'>,
 ): step.Step => {
-  const located = findAttempt(current, event);
+  const located = locatedAttempt.findAttempt(current, event);
   if (located === null) {
     return step.makeStep(current);
   }
@@ -117,7 +107,7 @@
 
 const noteFailure = (
   current: routerState.RouterState,
-  { attempt }: Located,
+  { attempt }: locatedAttempt.Located,
   event: events.EventOf<'attemptFailed'>,
 ): routerState.RouterState => {
   if (!FAILURES_OF_UPSTREAM.has(event.failure)) {
@@ -139,20 +129,18 @@
 
 const noteCrash = (
   current: routerState.RouterState,
-  { request, attempt }: Located,
+  { request, attempt }: locatedAttempt.Located,
   event: events.EventOf<'attemptFailed'>,
 ): step.Step => {
   if (event.failure !== 'crashed' || current.policy.quarantine === 'off') {
     return step.makeStep(current);
   }
-  const { fingerprint } = request.shape;
-  const crashes = [nameCrash(attempt.upstreamId, event.nowMs)];
-  const noted = quarantine.addCrashes(current.quarantine, fingerprint, crashes, event.nowMs);
-  const known = noted.suspicions.get(fingerprint)?.crashes ?? crashes;
   const suspect = { ...request, isSuspect: true };
-  return step.makeStep(
-    { ...routerState.setRequest(current, suspect), quarantine: noted },
-    { type: 'broadcastCrashEvidence', fingerprint, crashes: known },
+  return crashEvidence.recordCrash(
+    routerState.setRequest(current, suspect),
+    request.shape.fingerprint,
+    nameCrash(attempt.upstreamId, event.nowMs),
+    event.nowMs,
   );
 };
 
@@ -172,7 +160,7 @@
   current: routerState.RouterState,
   event: events.EventOf<'attemptFailed'>,
 ): step.Step => {
-  const located = findAttempt(current, event);
+  const located = locatedAttempt.findAttempt(current, event);
   if (located === null) {
     return step.makeStep(current);
   }
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -6,6 +6,7 @@
 import * as health from './health.js';
 import * as learning from './learning.js';
 import * as demand from './orders/demand.js';
+import * as longPrompts from './relay/longPrompts.js';
 import * as relayTrials from './relay/relayTrials.js';
 import * as reroute from './reroute.js';
 import * as rollouts from './rollouts.js';
@@ -24,30 +25,44 @@
     ? [upstream.host.service]
     : upstream.loaded;
 
-interface MutableCandidates {
-  readonly local: string[];
-  readonly remote: string[];
-}
+const makeCandidates = (
+  current: routerState.RouterState,
+  upstreams: readonly upstreamState.UpstreamState[],
+  isRouted: boolean,
+): routerState.Candidates => {
+  const isLocal = ({ host }: upstreamState.UpstreamState): boolean =>
+    host.zone === current.self.zone;
+  return {
+    local: upstreams.filter(isLocal).map(({ host }) => host.id),
+    remote: upstreams.filter((one) => !isLocal(one)).map(({ host }) => host.id),
+    longHosts: isRouted ? longPrompts.listLongHosts(upstreams) : longPrompts.NO_LONG_HOSTS,
+  };
+};
 
 /** Indexes live upstreams by the versions they have loaded, nearest first. */
 const indexCandidates = (
   current: routerState.RouterState,
 ): ReadonlyMap<versionId.VersionId, routerState.Candidates> => {
-  const index = new Map<versionId.VersionId, MutableCandidates>();
+  const found = new Map<versionId.VersionId, upstreamState.UpstreamState[]>();
+  const routed = current.relay.view?.services;
   const services = current.config?.services ?? new Map<string, shared.lists.Service>();
   const live = current.upstreams
     .valueSeq()
     .filter((upstream) => upstream.host.state === 'live')
     .sortBy((upstream) => upstream.host.id);
   live.forEach((upstream) => {
-    listRunnable(upstream, services, current.relay.view?.services).forEach((id) => {
-      const known = index.get(id) ?? { local: [], remote: [] };
-      const isLocal = upstream.host.zone === current.self.zone;
-      (isLocal ? known.local : known.remote).push(upstream.host.id);
-      index.set(id, known);
+    listRunnable(upstream, services, routed).forEach((id) => {
+      const known = found.get(id) ?? [];
+      known.push(upstream);
+      found.set(id, known);
     });
   });
-  return index;
+  return new Map(
+    Array.from(found, ([id, upstreams]) => [
+      id,
+      makeCandidates(current, upstreams, routed?.has(id) === true),
+    ]),
+  );
 };
 
 /** Replaces the index of live upstreams. */
--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -172,7 +172,7 @@
   return best === null ? null : pickWithAffinity(current, pool, query, best).host.id;
 };
 
-const EMPTY_CANDIDATES: routerState.Candidates = { local: [], remote: [] };
+const EMPTY_CANDIDATES: routerState.Candidates = { local: [], remote: [], longHosts: new Set() };
 
 const getCandidates = (
   current: routerState.RouterState,
--- a/packages/core/src/relay/longPrompts.ts
+++ b/packages/core/src/relay/longPrompts.ts
@@ -14,6 +14,9 @@
 export const isLongPrompt = (tokens: number, unitMs: number | null): boolean =>
   unitMs !== null && (tokens / relayContext.TOKENS_PER_UNIT) * unitMs > LONG_READ_MS;
 
+/** No upstream takes long prompts first. */
+export const NO_LONG_HOSTS: ReadonlySet<string> = new Set();
+
 /**
  * Lists the upstreams that all routers give long prompts first. Routers cannot see each other's prompts in
  * time, so they agree on where the long ones go: the short ones elsewhere do not wait behind them.
--- a/packages/core/src/relay/relayAnswers.ts
+++ b/packages/core/src/relay/relayAnswers.ts
@@ -4,6 +4,7 @@
 import type * as events from '../events.js';
 import * as health from '../health.js';
 import * as laneState from '../laneState.js';
+import * as locatedAttempt from '../locatedAttempt.js';
 import * as quarantine from '../quarantine.js';
 import * as routerState from '../routerState.js';
 import * as slots from '../slots.js';
@@ -17,17 +18,14 @@
 import * as relayState from './relayState.js';
 import * as versionTrial from './versionTrial.js';
 
-/** Finds the attempt an event speaks of; late events of ended attempts find nothing. */
+/** Finds the routed attempt an event speaks of. */
 const findAttempt = (
   current: routerState.RouterState,
   event: { readonly requestId: string; readonly attemptId: number },
 ): relayRetry.Located | null => {
-  const request = current.requests.get(event.requestId);
-  const attempt = request?.attempts.find((item) => item.id === event.attemptId);
-  const relay = request?.relay ?? null;
-  return request === undefined || attempt === undefined || relay === null
-    ? null
-    : { request, relay, attempt };
+  const located = locatedAttempt.findAttempt(current, event);
+  const relay = located?.request.relay ?? null;
+  return located === null || relay === null ? null : { ...located, relay };
 };
 
 /** Counts an answer or a failure as evidence in a roll-out of its service. */
--- a/packages/core/src/relay/relayCrashes.ts
+++ b/packages/core/src/relay/relayCrashes.ts
@@ -1,5 +1,5 @@
+import * as crashEvidence from '../crashEvidence.js';
 import type * as events from '../events.js';
-import * as quarantine from '../quarantine.js';
 import type * as routerState from '../routerState.js';
 import * as step from '../step.js';
 
@@ -14,12 +14,16 @@
 ): step.Step => {
   const { fingerprint, upstreamId } = event;
   const crash = nameCrash(current, upstreamId);
-  const noted = quarantine.addCrashes(current.quarantine, fingerprint, [crash], event.nowMs);
-  const crashes = noted.suspicions.get(fingerprint)?.crashes ?? [crash];
-  return step.makeStep(
-    { ...current, quarantine: noted },
-    { type: 'broadcastCrashEvidence', fingerprint, crashes },
-    { type: 'log', message: 'upstream crashed', fields: { upstream: upstreamId, crashes } },
+  const recorded = crashEvidence.recordCrash(current, fingerprint, crash, event.nowMs);
+  return step.chainStep(recorded, (next) =>
+    step.makeStep(next, {
+      type: 'log',
+      message: 'upstream crashed',
+      fields: {
+        upstream: upstreamId,
+        crashes: next.quarantine.suspicions.get(fingerprint)?.crashes ?? [crash],
+      },
+    }),
   );
 };
 
--- a/packages/core/src/relay/relayPlacement.ts
+++ b/packages/core/src/relay/relayPlacement.ts
@@ -48,6 +48,10 @@
   readonly hasLongPrompt: boolean;
   /** Upstreams that take long prompts first. */
   readonly longHosts: ReadonlySet<string>;
+  /** Prompt tokens that other requests may share. */
+  readonly sharedTokens: number;
+  /** Upstream that all routers prefer for the subject, or null. */
+  readonly home: string | null;
 }
 
 /** Estimates how long the events of an answer take on an upstream of usual pace. */
@@ -140,13 +144,14 @@
   return Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, learned * told));
 };
 
-/** Tells whether an upstream is the one that all routers prefer for a subject. */
+/** Finds the upstream that all routers prefer for a subject, if it has one. */
 const findHome = (
   upstreams: readonly upstreamState.UpstreamState[],
   call: relayState.RelayCall,
+  sharedTokens: number,
 ): string | null => {
   const subject = prefixMemory.getSubject(call);
-  if (subject === null || prefixMemory.countSharedTokens(call) < MIN_SUBJECT_TOKENS) {
+  if (subject === null || sharedTokens < MIN_SUBJECT_TOKENS) {
     return null;
   }
   const ids = upstreams.map((one) => one.host.id);
@@ -157,9 +162,8 @@
   current: routerState.RouterState,
   upstream: upstreamState.UpstreamState,
   query: ScoredQuery,
-  home: string | null,
 ): number => {
-  const { relay, nowMs } = query;
+  const { relay, nowMs, sharedTokens } = query;
   const slots = Math.max(1, upstream.host.slots ?? upstream.slots);
   const load = (upstreamState.estimateLoad(upstream, nowMs) + 1) / slots;
   const missing = prefixMemory.estimateMissingTokens(
@@ -170,9 +174,10 @@
     nowMs,
   );
   // The home upstream has read the subject for other routers.
-  const sharedTokens = prefixMemory.countSharedTokens(relay.call);
   const unread =
-    upstream.host.id === home ? Math.min(missing, relay.call.tokensIn - sharedTokens) : missing;
+    upstream.host.id === query.home
+      ? Math.min(missing, relay.call.tokensIn - sharedTokens)
+      : missing;
   const reading = (upstream.prefillTokens + unread) / TOKENS_PER_LOAD;
   const reread =
     (Math.max(0, unread - (relay.call.tokensIn - sharedTokens)) / 1_000) * REREAD_PENALTY;
@@ -191,11 +196,10 @@
   current: routerState.RouterState,
   pool: readonly upstreamState.UpstreamState[],
   query: ScoredQuery,
-  home: string | null,
 ): string | null => {
   let best: { readonly id: string; readonly score: number } | null = null;
   for (const upstream of pool) {
-    const score = computeScore(current, upstream, query, home);
+    const score = computeScore(current, upstream, query);
     if (best === null || score < best.score) {
       best = { id: upstream.host.id, score };
     }
@@ -224,17 +228,19 @@
   const upstreams = listUpstreams(current, query.request.service);
   const usable = upstreams.filter((one) => canTake(current, one, query));
   const healthy = usable.filter(isHealthy);
-  const home = findHome(upstreams, query.relay.call);
   const isLastResort =
     healthy.length === 0 && upstreams.every((one) => one.health !== 'ok' || !one.isReachable);
   const { service } = query.request;
-  const streamMs = estimateStreamMs(current, service, query.relay.model, query.relay.call);
-  const unitMs = relayContext.getTypicalMs(current.relay, 'headTimes', service, query.relay.model);
+  const { model, call } = query.relay;
+  const unitMs = relayContext.getTypicalMs(current.relay, 'headTimes', service, model);
+  const sharedTokens = prefixMemory.countSharedTokens(call);
   const scored: ScoredQuery = {
     ...query,
-    streamMs,
-    hasLongPrompt: longPrompts.isLongPrompt(query.relay.call.tokensIn, unitMs),
-    longHosts: longPrompts.listLongHosts(upstreams),
+    streamMs: estimateStreamMs(current, service, model, call),
+    hasLongPrompt: longPrompts.isLongPrompt(call.tokensIn, unitMs),
+    longHosts: current.candidates.get(service)?.longHosts ?? longPrompts.NO_LONG_HOSTS,
+    sharedTokens,
+    home: findHome(upstreams, call, sharedTokens),
   };
-  return pickBest(current, isLastResort ? usable : healthy, scored, home);
+  return pickBest(current, isLastResort ? usable : healthy, scored);
 };
--- a/packages/core/src/relay/relayRetry.ts
+++ b/packages/core/src/relay/relayRetry.ts
@@ -2,6 +2,7 @@
 import * as dispatch from '../dispatch.js';
 import type * as events from '../events.js';
 import * as health from '../health.js';
+import type * as locatedAttempt from '../locatedAttempt.js';
 import * as memberTable from '../membership/memberTable.js';
 import * as refusal from '../refusal.js';
 import type * as requestState from '../requestState.js';
@@ -15,10 +16,8 @@
 import * as sendBudget from './sendBudget.js';
 
 /** A routed request with the attempt an event speaks of. */
-export interface Located {
-  readonly request: requestState.RequestState;
+export interface Located extends locatedAttempt.Located {
   readonly relay: relayState.RelayState;
-  readonly attempt: requestState.Attempt;
 }
 
 /** Time that must be left for a further send to make sense, in milliseconds. */
--- a/packages/core/src/routerState.ts
+++ b/packages/core/src/routerState.ts
@@ -32,6 +32,8 @@
 export interface Candidates {
   readonly local: readonly string[];
   readonly remote: readonly string[];
+  /** Those behind routes that take long prompts first. */
+  readonly longHosts: ReadonlySet<string>;
 }
 
 /** Whole state of the decision core. */
