feat(router): logs when a caller leaves, where its request waited, and long turns of the event loop

A line 'caller gone' now carries the age of the connection when the request was read and the times of each send; 'event loop delayed' reports turns of 250 ms and more, and the metrics hold the 99th percentile and the maximum of a turn. No decision changes.

--- /dev/null
+++ b/packages/router/__tests__/loopMonitor.spec.ts
@@ -0,0 +1,22 @@
+import test from 'ava';
+import * as shared from '@jayrock/shared';
+import * as loopMonitor from '../src/eventLoop/loopMonitor.js';
+
+const blockLoop = (durationMs: number): void => {
+  const endMs = performance.now() + durationMs;
+  while (performance.now() < endMs);
+};
+
+test('a turn that blocks the event loop is reported with its length, and waiting for I/O is not', async (t) => {
+  const reported: number[] = [];
+  const monitor = loopMonitor.startLoopMonitor((turnMs) => reported.push(turnMs));
+  await shared.delay.wait(400);
+  t.deepEqual(reported, []);
+  blockLoop(300);
+  await shared.delay.wait(20);
+  t.is(reported.length, 1);
+  t.true((reported[0] ?? 0) >= 299);
+  t.true(monitor.takeMaxTurnMs() >= 299);
+  t.true(monitor.takeMaxTurnMs() < 250);
+  monitor.stop();
+});
--- a/packages/router/src/routed/pendingRoutedRequest.ts
+++ b/packages/router/src/routed/pendingRoutedRequest.ts
@@ -11,6 +11,15 @@
   readonly forward: () => void;
 }
 
+/** Times of one send, in milliseconds since the request was read. */
+export interface SendTimes {
+  readonly upstream: string;
+  /** When the attempt was started. */
+  readonly startedMs: number;
+  /** When its bytes were handed to a connection, or null if they were not. */
+  sentMs: number | null;
+}
+
 /** The shell's record of a routed request in flight, in addition to the reducer's state. */
 export interface PendingRoutedRequest {
   /** Identifier that is unique within this process. */
@@ -26,7 +35,12 @@
   /** Hash of method, path, caller and body. */
   readonly fingerprint: string;
   readonly response: http.ServerResponse;
+  /** When the headers were read, in milliseconds of the monotonic clock. */
   readonly arrivedAtMs: number;
+  /** Age of the caller's connection at that time, in milliseconds. */
+  readonly connectionAgeMs: number;
+  /** Times of all sends, in their order. */
+  readonly sends: SendTimes[];
   /** Attempts in flight by attempt identifier. */
   readonly attempts: Map<number, RunningAttempt>;
   /** True once the head of an answer was written to the caller. */
--- a/packages/router/src/routed/routedAttempt.ts
+++ b/packages/router/src/routed/routedAttempt.ts
@@ -23,6 +23,8 @@
   readonly handleEnd: (stream: StreamSummary) => void;
   /** The attempt has failed; called at most once. */
   readonly handleFailure: (failure: RoutedAttemptFailure) => void;
+  /** The request was handed to a connection. */
+  readonly handleSent: () => void;
   /** Bytes of an answer have arrived. */
   readonly handleActivity: () => void;
   /** The attempt has ended, whatever its outcome; called once. */
@@ -297,6 +299,7 @@
           return;
         }
         isStarted = true;
+        listener.handleSent();
       },
       onResponseStart: (_, status, headers) => {
         listener.handleActivity();
--- a/packages/router/src/routed/routedRunners.ts
+++ b/packages/router/src/routed/routedRunners.ts
@@ -66,6 +66,13 @@
   const { requestId, attemptId, upstreamId, address, routed: send } = effect;
   const { fingerprint } = pending;
   context.reachability.recordStart(upstreamId, address);
+  const getElapsedMs = (): number => Math.round(performance.now() - pending.arrivedAtMs);
+  const times: pendingRoutedRequest.SendTimes = {
+    upstream: upstreamId,
+    startedMs: getElapsedMs(),
+    sentMs: null,
+  };
+  pending.sends.push(times);
   const running = routedAttempt.startRoutedAttempt(
     context.pools,
     { pending, attemptId, upstreamId, address, send },
@@ -104,6 +111,9 @@
           detectCrash(context, upstreamId, address, fingerprint);
         }
       },
+      handleSent: () => {
+        times.sentMs = getElapsedMs();
+      },
       handleActivity: () => context.reachability.recordActivity(upstreamId),
       handleClose: () => context.reachability.recordEnd(upstreamId),
       handleLoad: (report) =>
@@ -113,6 +123,21 @@
   pending.attempts.set(attemptId, running);
 };
 
+/** Logs a request whose caller left, with the times that show where it waited. */
+const logGoneCaller = (
+  context: RoutedRunnerContext,
+  pending: pendingRoutedRequest.PendingRoutedRequest,
+): void =>
+  context.log.info(
+    {
+      requestId: pending.callerRequestId,
+      connectionAgeMs: Math.round(pending.connectionAgeMs),
+      heldMs: Math.round(performance.now() - pending.arrivedAtMs),
+      sends: pending.sends,
+    },
+    'caller gone',
+  );
+
 /** Ends a request without an answer: writes the error, or closes the connection if an answer has begun. */
 const refuse = (
   context: RoutedRunnerContext,
@@ -121,7 +146,9 @@
 ): void => {
   const { status } = shared.errorCodes.getErrorRow(effect.code);
   endRequest(context, pending, effect.code);
-  if (effect.code !== 'callerGone') {
+  if (effect.code === 'callerGone') {
+    logGoneCaller(context, pending);
+  } else {
     context.log.info(
       {
         requestId: pending.callerRequestId,
--- a/packages/router/src/routed/routedServer.ts
+++ b/packages/router/src/routed/routedServer.ts
@@ -1,4 +1,5 @@
 import type * as http from 'node:http';
+import type * as net from 'node:net';
 import * as platform from '@jayrock/platform';
 import * as shared from '@jayrock/shared';
 import * as fastify from 'fastify';
@@ -11,6 +12,8 @@
   readonly runtime: routerRuntime.Runtime;
   readonly pending: Map<string, pendingRoutedRequest.PendingRoutedRequest>;
   readonly clock: freshnessClock.FreshnessClock;
+  /** When each connection of a caller was accepted, in milliseconds of the monotonic clock. */
+  readonly connections: WeakMap<net.Socket, number>;
   readonly limits: CallerLimits;
   /** Time since the table's last confirmation above which a request first refreshes it, in milliseconds. */
   readonly maxTableAgeMs: number;
@@ -134,6 +137,8 @@
     fingerprint: hashRequest(request, call.key, body),
     response,
     arrivedAtMs,
+    connectionAgeMs: arrivedAtMs - (context.connections.get(request.socket) ?? arrivedAtMs),
+    sends: [],
     attempts: new Map(),
     isHeadWritten: false,
     lastEventId: call.lastEventId,
@@ -171,6 +176,9 @@
       connectionsCheckingInterval: CONNECTION_CHECK_MS,
     },
   });
+  server.server.on('connection', (socket: net.Socket) => {
+    context.connections.set(socket, performance.now());
+  });
   server.addHook('onRequest', (request, reply, done) => {
     reply.hijack();
     const idleMs =
--- a/packages/router/src/routed/startRoutedRouter.ts
+++ b/packages/router/src/routed/startRoutedRouter.ts
@@ -3,6 +3,7 @@
 import * as shared from '@jayrock/shared';
 import * as fastify from 'fastify';
 import * as pino from 'pino';
+import * as loopMonitor from '../eventLoop/loopMonitor.js';
 import * as peerHandlers from '../peers/peerHandlers.js';
 import * as peerService from '../peers/peerService.js';
 import * as rpcClient from '../peers/rpcClient.js';
@@ -66,32 +67,6 @@
 const listen = (server: fastify.FastifyInstance, address: string): Promise<string> =>
   server.listen(shared.settings.parseAddress(address));
 
-const makeMetricsServer = (
-  runtime: routerRuntime.Runtime,
-  metrics: routedMetrics.RoutedMetrics,
-  source: routeSource.RouteSource,
-  clock: freshnessClock.FreshnessClock,
-): fastify.FastifyInstance => {
-  const server = fastify.fastify({ forceCloseConnections: true });
-  server.get('/metrics', (_, reply) => {
-    const state = runtime.getState();
-    return reply.type('text/plain').send(
-      metrics.render({
-        routes_version: state.routed.routeIndex?.version ?? 0,
-        routes_age_ms: Math.min(Number.MAX_SAFE_INTEGER, Math.round(clock.getAgeMs())),
-        requests_running: state.requests.size,
-        requests_queued: state.services.reduce((sum, service) => sum + service.queue.size, 0),
-        upstreams: state.upstreams.size,
-        upstreams_ejected: state.upstreams.count((upstream) => upstream.health !== 'ok'),
-        peers: core.memberTable.listActiveMembers(state.members).length,
-        store_calls: source.countCalls(),
-        memory_bytes: process.memoryUsage().rss,
-      }),
-    );
-  });
-  return server;
-};
-
 const makeSource = (
   context: routeSource.SourceContext,
   settings: shared.settings.Settings,
@@ -118,8 +93,38 @@
   readonly client: rpcClient.RpcClient;
   readonly reachability: reachabilityMonitor.ReachabilityMonitor;
   readonly peers: peerService.PeerService;
+  readonly loop: loopMonitor.LoopMonitor;
 }
 
+const makeMetricsServer = ({
+  runtime,
+  metrics,
+  source,
+  clock,
+  loop,
+}: RoutedRouterParts): fastify.FastifyInstance => {
+  const server = fastify.fastify({ forceCloseConnections: true });
+  server.get('/metrics', (_, reply) => {
+    const state = runtime.getState();
+    return reply.type('text/plain').send(
+      metrics.render({
+        routes_version: state.routed.routeIndex?.version ?? 0,
+        routes_age_ms: Math.min(Number.MAX_SAFE_INTEGER, Math.round(clock.getAgeMs())),
+        requests_running: state.requests.size,
+        requests_queued: state.services.reduce((sum, service) => sum + service.queue.size, 0),
+        upstreams: state.upstreams.size,
+        upstreams_ejected: state.upstreams.count((upstream) => upstream.health !== 'ok'),
+        peers: core.memberTable.listActiveMembers(state.members).length,
+        store_calls: source.countCalls(),
+        memory_bytes: process.memoryUsage().rss,
+        loop_turn_p99_ms: loop.getTurnMs(99),
+        loop_turn_max_ms: Math.round(loop.takeMaxTurnMs()),
+      }),
+    );
+  });
+  return server;
+};
+
 const makeRuntime = (
   settings: shared.settings.Settings,
   platform: RoutedPlatform,
@@ -158,6 +163,9 @@
     pools: connectionPools.makeConnectionPools(getLocalAddress(settings)),
     reachability: reachabilityMonitor.startReachabilityMonitor(runtime),
     peers: peerService.startPeerService(runtime, client),
+    loop: loopMonitor.startLoopMonitor((turnMs) =>
+      log.warn({ turnMs: Math.round(turnMs) }, 'event loop delayed'),
+    ),
   };
   runtime.connect(routedRunners.makeRoutedRunners(parts));
   return parts;
@@ -181,6 +189,7 @@
     runtime,
     pending: parts.pending,
     clock,
+    connections: new WeakMap(),
     maxTableAgeMs: platform.bounds.revocationMs * CONFIRMATION_AGE_SHARE,
     refreshTable: source.refresh,
     isLeaving,
@@ -194,7 +203,7 @@
     settings.peerSecret,
     peerHandlers.makeMemberHandlers(parts),
   );
-  const metrics = makeMetricsServer(runtime, parts.metrics, source, clock);
+  const metrics = makeMetricsServer(parts);
   await Promise.all([
     listen(callers, settings.callers),
     listen(readiness, platform.readyAddress),
@@ -260,6 +269,7 @@
     stopReports();
     parts.reachability.stop();
     parts.peers.stop();
+    parts.loop.stop();
     callers?.server.closeAllConnections();
     await Promise.all(listeners.map((server) => server.close()));
     await Promise.all([parts.pools.close(), parts.client.close(), source.stop()]);
