fix(router): a request whose caller left while it was unread is no longer sent on

Callers saw: upstreams worked for callers that had left up to 3.6 s before (GONE), and everyone waited behind that work. Cause: the event loop reads one message of a socket a turn and accepts one connection a turn. After a long turn it read the request, sent it, and read the caller's close only a turn later; connections waited one turn each in the queue of the listener, behind the work of all others. Of the times in the router only the one before the read is long. Why this works: a request starts after a poll that began after it was read, so a close that had arrived is known. A close is noticed at the end of the caller's input, not when the response has been torn down. Both listeners, all kinds of routes.

--- a/packages/router/src/callers/callerServer.ts
+++ b/packages/router/src/callers/callerServer.ts
@@ -4,6 +4,7 @@
 import type * as core from '@jayrock/core';
 import * as pendingRequest from '../pendingRequest.js';
 import type * as routerRuntime from '../routerRuntime.js';
+import type * as callerConnections from './callerConnections.js';
 import * as parseChat from './parseChat.js';
 import * as problem from './problem.js';
 import * as replySink from './replySink.js';
@@ -18,6 +19,9 @@
   readonly settings: shared.settings.Settings;
   readonly pending: Map<string, pendingRequest.PendingRequest>;
   readonly findSession: SessionLookup;
+  readonly connections: callerConnections.CallerConnections;
+  /** Ends a request whose caller left before the request was dispatched. */
+  readonly endAbandoned: (pending: pendingRequest.PendingRequest) => void;
   /** Returns whether the platform's load balancer may send requests to this router. */
   readonly isReady: () => boolean;
 }
@@ -108,18 +112,22 @@
 ): void => {
   reply.hijack();
   context.pending.set(pending.requestId, pending);
-  reply.raw.once('close', () => {
-    if (!reply.raw.writableFinished && context.pending.has(pending.requestId)) {
-      context.runtime.dispatch({ type: 'callerGone', requestId: pending.requestId });
-    }
-  });
-  context.runtime.dispatch({
-    type: 'requestArrived',
-    requestId: pending.requestId,
-    customer: pending.customer,
-    shape: pending.shape,
-    pin: pending.pin,
-    session: pending.session,
+  context.connections.admit(reply.raw, {
+    start: () =>
+      context.runtime.dispatch({
+        type: 'requestArrived',
+        requestId: pending.requestId,
+        customer: pending.customer,
+        shape: pending.shape,
+        pin: pending.pin,
+        session: pending.session,
+      }),
+    abandon: () => context.endAbandoned(pending),
+    handleGone: () => {
+      if (context.pending.has(pending.requestId)) {
+        context.runtime.dispatch({ type: 'callerGone', requestId: pending.requestId });
+      }
+    },
   });
 };
 
@@ -267,6 +275,7 @@
       connectionsCheckingInterval: CONNECTION_CHECK_MS,
     },
   });
+  context.connections.follow(server.server);
   server.setErrorHandler((error, _, reply) => handleError(error, reply));
   server.setNotFoundHandler((_, reply) => refuse(reply, 'notFound'));
   server.get('/healthz', (_, reply) => reply.code(context.isReady() ? 200 : 503).send());
--- a/packages/router/src/effectRunners.ts
+++ b/packages/router/src/effectRunners.ts
@@ -81,7 +81,8 @@
   }
 };
 
-const endRequest = (context: RunnerContext, pending: Pending, outcome: string): void => {
+/** Removes a finished request, and records and logs its outcome. */
+export const endRequest = (context: RunnerContext, pending: Pending, outcome: string): void => {
   context.pending.delete(pending.requestId);
   context.levels.record(context.runtime.getState(), pending, outcome);
   logRequest(context, pending, outcome);
--- a/packages/router/src/eventLoop/loopMonitor.ts
+++ b/packages/router/src/eventLoop/loopMonitor.ts
@@ -6,6 +6,10 @@
   readonly takeMaxTurnMs: () => number;
   /** Working time of a turn at a percentile, in milliseconds. */
   readonly getTurnMs: (percentile: number) => number;
+  /** Number of the current turn. */
+  readonly getTurn: () => number;
+  /** Longest time for which input that is read now can have waited unread, in milliseconds. */
+  readonly getInputAgeMs: () => number;
   readonly stop: () => void;
 }
 
@@ -26,11 +30,15 @@
   let endedAtMs = performance.now();
   let { idle: idleMs } = performance.eventLoopUtilization();
   let maxTurnMs = 0;
+  let lastTurnMs = 0;
+  let turn = 0;
   let immediate: NodeJS.Immediate;
   const recordTurn = (): void => {
     const nowMs = performance.now();
     const { idle } = performance.eventLoopUtilization();
     const turnMs = Math.max(0, nowMs - endedAtMs - (idle - idleMs));
+    lastTurnMs = turnMs;
+    turn += 1;
     endedAtMs = nowMs;
     idleMs = idle;
     maxTurnMs = Math.max(maxTurnMs, turnMs);
@@ -48,6 +56,13 @@
       return taken;
     },
     getTurnMs: (percentile) => turns.getValueAtPercentile(percentile),
+    getTurn: () => turn,
+    getInputAgeMs: () => {
+      const waitedMs = performance.eventLoopUtilization().idle - idleMs;
+      const workedMs = performance.now() - endedAtMs - waitedMs;
+      // Input that a poll did not wait for can have arrived from the start of the poll before.
+      return Math.max(0, waitedMs > 0 ? workedMs : workedMs + lastTurnMs);
+    },
     stop: () => clearImmediate(immediate),
   };
 };
--- a/packages/router/src/routed/pendingRoutedRequest.ts
+++ b/packages/router/src/routed/pendingRoutedRequest.ts
@@ -35,10 +35,10 @@
   /** Hash of method, path, caller and body. */
   readonly fingerprint: string;
   readonly response: http.ServerResponse;
-  /** When the headers were read, in milliseconds of the monotonic clock. */
+  /** Earliest time at which the request can have arrived, on the monotonic clock, in milliseconds. */
   readonly arrivedAtMs: number;
-  /** Age of the caller's connection at that time, in milliseconds. */
-  readonly connectionAgeMs: number;
+  /** When its headers were read, on the same clock, in milliseconds. */
+  readonly readAtMs: number;
   /** Times of all sends, in their order. */
   readonly sends: SendTimes[];
   /** Attempts in flight by attempt identifier. */
--- a/packages/router/src/routed/routedRunners.ts
+++ b/packages/router/src/routed/routedRunners.ts
@@ -66,7 +66,7 @@
   const { requestId, attemptId, upstreamId, address, routed: send } = effect;
   const { fingerprint } = pending;
   context.reachability.recordStart(upstreamId, address);
-  const getElapsedMs = (): number => Math.round(performance.now() - pending.arrivedAtMs);
+  const getElapsedMs = (): number => Math.round(performance.now() - pending.readAtMs);
   const times: pendingRoutedRequest.SendTimes = {
     upstream: upstreamId,
     startedMs: getElapsedMs(),
@@ -131,13 +131,23 @@
   context.log.info(
     {
       requestId: pending.callerRequestId,
-      connectionAgeMs: Math.round(pending.connectionAgeMs),
-      heldMs: Math.round(performance.now() - pending.arrivedAtMs),
+      unreadMs: Math.round(pending.readAtMs - pending.arrivedAtMs),
+      heldMs: Math.round(performance.now() - pending.readAtMs),
       sends: pending.sends,
     },
     'caller gone',
   );
 
+/** Ends a request whose caller left before the request was dispatched. */
+export const endAbandoned = (
+  context: RoutedRunnerContext,
+  pending: pendingRoutedRequest.PendingRoutedRequest,
+): void => {
+  endRequest(context, pending, 'callerGone');
+  logGoneCaller(context, pending);
+  pending.response.destroy();
+};
+
 /** Ends a request without an answer: writes the error, or closes the connection if an answer has begun. */
 const refuse = (
   context: RoutedRunnerContext,
@@ -148,18 +158,19 @@
   endRequest(context, pending, effect.code);
   if (effect.code === 'callerGone') {
     logGoneCaller(context, pending);
-  } else {
-    context.log.info(
-      {
-        requestId: pending.callerRequestId,
-        code: effect.code,
-        notRun: effect.notRun,
-        retryAfterMs: effect.retryAfterMs,
-        heldMs: Math.round(performance.now() - pending.arrivedAtMs),
-      },
-      'request refused',
-    );
+    pending.response.destroy();
+    return;
   }
+  context.log.info(
+    {
+      requestId: pending.callerRequestId,
+      code: effect.code,
+      notRun: effect.notRun,
+      retryAfterMs: effect.retryAfterMs,
+      heldMs: Math.round(performance.now() - pending.arrivedAtMs),
+    },
+    'request refused',
+  );
   if (pending.isHeadWritten || pending.response.destroyed) {
     // Destroys the connection, so that a truncated answer does not look complete.
     pending.response.destroy();
--- a/packages/router/src/routed/routedServer.ts
+++ b/packages/router/src/routed/routedServer.ts
@@ -1,8 +1,8 @@
 import type * as http from 'node:http';
-import type * as net from 'node:net';
 import * as platform from '@jayrock/platform';
 import * as shared from '@jayrock/shared';
 import * as fastify from 'fastify';
+import type * as callerConnections from '../callers/callerConnections.js';
 import type * as routerRuntime from '../routerRuntime.js';
 import type * as freshnessClock from './freshnessClock.js';
 import type * as pendingRoutedRequest from './pendingRoutedRequest.js';
@@ -12,8 +12,7 @@
   readonly runtime: routerRuntime.Runtime;
   readonly pending: Map<string, pendingRoutedRequest.PendingRoutedRequest>;
   readonly clock: freshnessClock.FreshnessClock;
-  /** When each connection of a caller was accepted, in milliseconds of the monotonic clock. */
-  readonly connections: WeakMap<net.Socket, number>;
+  readonly connections: callerConnections.CallerConnections;
   readonly limits: CallerLimits;
   /** Time since the table's last confirmation above which a request first refreshes it, in milliseconds. */
   readonly maxTableAgeMs: number;
@@ -21,6 +20,8 @@
   readonly refreshTable: () => Promise<boolean>;
   /** Returns whether the router is stopping. */
   readonly isLeaving: () => boolean;
+  /** Ends a request whose caller left before the request was dispatched. */
+  readonly endAbandoned: (pending: pendingRoutedRequest.PendingRoutedRequest) => void;
 }
 
 /** Limits on requests that apply until the first route table sets its own. */
@@ -108,7 +109,10 @@
   });
 };
 
-/** Reads a request, refreshes the table if its confirmation is too old, and dispatches the arrival. */
+/**
+ * Reads a request and refreshes the table if its confirmation is too old. The request starts once the input that had
+ * arrived with it has been read, which may be the close of its connection.
+ */
 const acceptRequest = async (
   context: RoutedServerContext,
   url: string,
@@ -116,7 +120,8 @@
   response: http.ServerResponse,
 ): Promise<void> => {
   const { limits } = context.runtime.getState().routed.routeIndex ?? { limits: context.limits };
-  const arrivedAtMs = performance.now();
+  const readAtMs = performance.now();
+  const arrivedAtMs = context.connections.getArrivalMs(request.socket);
   const body = await readBody(request, limits.maxBodyBytes).catch(() => null);
   if (response.destroyed || response.headersSent) {
     return;
@@ -137,7 +142,7 @@
     fingerprint: hashRequest(request, call.key, body),
     response,
     arrivedAtMs,
-    connectionAgeMs: arrivedAtMs - (context.connections.get(request.socket) ?? arrivedAtMs),
+    readAtMs,
     sends: [],
     attempts: new Map(),
     isHeadWritten: false,
@@ -146,20 +151,21 @@
   if (context.isLeaving()) {
     response.shouldKeepAlive = false;
   }
+  // A stopping router waits for it from here on.
+  context.pending.set(pending.id, pending);
   // After a suspension or a clock step, one read of the store shows whether the table is current.
   if (context.clock.getAgeMs() > context.maxTableAgeMs) {
     await Promise.race([context.refreshTable(), shared.delay.wait(REFRESH_WAIT_MS)]);
   }
-  if (response.destroyed) {
-    return;
-  }
-  context.pending.set(pending.id, pending);
-  response.once('close', () => {
-    if (context.pending.has(pending.id)) {
-      context.runtime.dispatch({ type: 'callerGone', requestId: pending.id });
-    }
+  context.connections.admit(response, {
+    start: () => dispatchArrival(context, pending),
+    abandon: () => context.endAbandoned(pending),
+    handleGone: () => {
+      if (context.pending.has(pending.id)) {
+        context.runtime.dispatch({ type: 'callerGone', requestId: pending.id });
+      }
+    },
   });
-  dispatchArrival(context, pending);
 };
 
 /** Creates the listener for callers' routed requests. */
@@ -176,9 +182,7 @@
       connectionsCheckingInterval: CONNECTION_CHECK_MS,
     },
   });
-  server.server.on('connection', (socket: net.Socket) => {
-    context.connections.set(socket, performance.now());
-  });
+  context.connections.follow(server.server);
   server.addHook('onRequest', (request, reply, done) => {
     reply.hijack();
     const idleMs =
--- a/packages/router/src/routed/startRoutedRouter.ts
+++ b/packages/router/src/routed/startRoutedRouter.ts
@@ -3,6 +3,8 @@
 import * as shared from '@jayrock/shared';
 import * as fastify from 'fastify';
 import * as pino from 'pino';
+import * as callerConnections from '../callers/callerConnections.js';
+import * as inputBarrier from '../eventLoop/inputBarrier.js';
 import * as loopMonitor from '../eventLoop/loopMonitor.js';
 import * as peerHandlers from '../peers/peerHandlers.js';
 import * as peerService from '../peers/peerService.js';
@@ -94,6 +96,7 @@
   readonly reachability: reachabilityMonitor.ReachabilityMonitor;
   readonly peers: peerService.PeerService;
   readonly loop: loopMonitor.LoopMonitor;
+  readonly barrier: inputBarrier.InputBarrier;
 }
 
 const makeMetricsServer = ({
@@ -163,6 +166,7 @@
     pools: connectionPools.makeConnectionPools(getLocalAddress(settings)),
     reachability: reachabilityMonitor.startReachabilityMonitor(runtime),
     peers: peerService.startPeerService(runtime, client),
+    barrier: inputBarrier.makeInputBarrier(),
     loop: loopMonitor.startLoopMonitor((turnMs) =>
       log.warn({ turnMs: Math.round(turnMs) }, 'event loop delayed'),
     ),
@@ -189,7 +193,8 @@
     runtime,
     pending: parts.pending,
     clock,
-    connections: new WeakMap(),
+    connections: callerConnections.makeCallerConnections(parts.loop, parts.barrier),
+    endAbandoned: (pending) => routedRunners.endAbandoned(parts, pending),
     maxTableAgeMs: platform.bounds.revocationMs * CONFIRMATION_AGE_SHARE,
     refreshTable: source.refresh,
     isLeaving,
@@ -270,6 +275,7 @@
     parts.reachability.stop();
     parts.peers.stop();
     parts.loop.stop();
+    parts.barrier.stop();
     callers?.server.closeAllConnections();
     await Promise.all(listeners.map((server) => server.close()));
     await Promise.all([parts.pools.close(), parts.client.close(), source.stop()]);
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -3,9 +3,12 @@
 import * as shared from '@jayrock/shared';
 import type * as fastify from 'fastify';
 import * as pino from 'pino';
+import * as callerConnections from './callers/callerConnections.js';
 import * as callerServer from './callers/callerServer.js';
 import * as claimService from './claims/claimService.js';
 import * as effectRunners from './effectRunners.js';
+import * as inputBarrier from './eventLoop/inputBarrier.js';
+import * as loopMonitor from './eventLoop/loopMonitor.js';
 import * as configFeed from './feeds/configFeed.js';
 import * as hostFeed from './feeds/hostFeed.js';
 import * as loadFeed from './feeds/loadFeed.js';
@@ -168,22 +171,25 @@
   const pending = new Map<string, pendingRequest.PendingRequest>();
   const pools = connectionPools.makeConnectionPools(getLocalAddress(settings));
   const interTokens = interTokenMonitor.startInterTokenMonitor(runtime);
+  const loop = loopMonitor.startLoopMonitor((turnMs) =>
+    log.warn({ turnMs: Math.round(turnMs) }, 'event loop delayed'),
+  );
+  const barrier = inputBarrier.makeInputBarrier();
   const levels = serviceLevels.makeServiceLevels();
   const services = startServices(runtime, settings, platform, log);
-  runtime.connect(
-    effectRunners.makeEffectRunners({
-      runtime,
-      settings,
-      pending,
-      pools,
-      interTokens,
-      rating: platform.rating,
-      levels,
-      log,
-      ...services,
-      proposeRollout: rolloutProposals.makeProposer(services.store, log),
-    }),
-  );
+  const runnerContext: effectRunners.RunnerContext = {
+    runtime,
+    settings,
+    pending,
+    pools,
+    interTokens,
+    rating: platform.rating,
+    levels,
+    log,
+    ...services,
+    proposeRollout: rolloutProposals.makeProposer(services.store, log),
+  };
+  runtime.connect(effectRunners.makeEffectRunners(runnerContext));
   const peerListener = rpcServer.makeRpcServer(
     settings.peerSecret,
     peerHandlers.makePeerHandlers({ runtime, ...services }),
@@ -198,6 +204,8 @@
     settings,
     pending,
     findSession: services.sessions.find,
+    connections: callerConnections.makeCallerConnections(loop, barrier),
+    endAbandoned: (abandoned) => effectRunners.endRequest(runnerContext, abandoned, 'callerGone'),
     isReady: () => !isLeaving && runtime.getState().config !== null,
   });
   await listen(callers, settings.callers);
@@ -219,6 +227,8 @@
     services.ledger.stop();
     services.orders.stop();
     interTokens.stop();
+    loop.stop();
+    barrier.stop();
     await Promise.all([peerListener.close(), status.close()]);
     await Promise.all([pools.close(), services.client.close(), platform.close()]);
   };
