fix(core,router): route time-outs and deadlines count from the arrival of a request

Cause: both clocks started when the request was read; the time for which it lay unread was given to it a second time. Why this works: the turns of the event loop bound how long input can have been unread: it was not there at the start of the poll before, unless the loop waited in this one; input that came with its connection can be a turn older. That bound is taken off the deadline, the route's time-out and the time to queue, and a request with nothing left is refused at once as not run.

Tests: overdueWork.spec.ts (its two new tests fail at: the request was sent on; 1.5 s were handed on although 0.3 s had passed) and routed.spec.ts of the core.

--- a/packages-private/measure/__tests__/goneCallers.spec.ts
+++ b/packages-private/measure/__tests__/overdueWork.spec.ts
@@ -76,3 +76,30 @@
     }
   },
 );
+
+test.serial(
+  'a request that lay unread past its route time-out is refused and not sent on',
+  async (t) => {
+    const { site, caller } = await startSite(t, '127.0.22.3');
+    await caller.connect(1);
+    caller.sendAndLeave([renderRequest('gone-0', '/brief/')], BLOCKED_MS * 3);
+    threadCaller.blockEventLoop(BLOCKED_MS);
+    await standIns.control.wait(SETTLED_MS);
+    t.is(countReceived(site), 0);
+  },
+);
+
+test.serial(
+  'the time for which a request lay unread is taken off the deadline that is handed on',
+  async (t) => {
+    const { site, caller } = await startSite(t, '127.0.22.4');
+    await caller.connect(1);
+    caller.sendAndLeave([renderRequest('gone-0', '/read/', 1_500)], BLOCKED_MS * 3);
+    threadCaller.blockEventLoop(BLOCKED_MS);
+    await standIns.control.wait(SETTLED_MS);
+    const received = site.upstreams
+      .flatMap((upstream) => upstream.received)
+      .find(({ id }) => id === 'gone-0');
+    t.true(Number(received?.headers[H.deadlineMs]) <= 1_500 - BLOCKED_MS);
+  },
+);
--- a/packages/core/__tests__/routed.spec.ts
+++ b/packages/core/__tests__/routed.spec.ts
@@ -370,3 +370,13 @@
   const behind = short.filter((id) => long.includes(id));
   t.true(behind.length <= 1, behind.join(' '));
 });
+
+test('the route time-out counts from the arrival of a request, not from when it was read', (t) => {
+  const driver = routedFixtures.makeRoutedDriver();
+  const effects = routedFixtures.sendCall(driver, 'a', { deadlineMs: 1_000 }, 0, 5_000, 400);
+  t.is(fixtures.pickEffects(effects, 'startAttempt')[0]?.routed?.timeLeftMs, 600);
+  t.is(fixtures.pickEffects(effects, 'armTimer')[0]?.delayMs, 600);
+  const late = routedFixtures.sendCall(driver, 'b', { deadlineMs: 1_000 }, 0, 5_000, 1_000);
+  t.deepEqual(listStarts(late), []);
+  t.is(findRefusal(late), 'overloaded');
+});
--- a/packages/core/__tests__/routedFixtures.ts
+++ b/packages/core/__tests__/routedFixtures.ts
@@ -90,9 +90,10 @@
   change: Partial<core.routedState.RoutedCall> = {},
   tableAgeMs = 0,
   nowMs?: number,
+  waitedMs = 0,
 ): readonly core.effects.Effect[] =>
   driver.send(
-    { type: 'routedRequestArrived', requestId, call: makeCall(change), tableAgeMs },
+    { type: 'routedRequestArrived', requestId, call: makeCall(change), tableAgeMs, waitedMs },
     nowMs,
   );
 
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -135,6 +135,8 @@
     readonly call: routedState.RoutedCall;
     /** Time since the table of routes was last confirmed, in milliseconds. */
     readonly tableAgeMs: number;
+    /** Longest time for which the request can have waited before this event, unread or not, in milliseconds. */
+    readonly waitedMs: number;
   };
   readonly routedHeadArrived: {
     readonly requestId: string;
--- a/packages/core/src/routed/routedArrival.ts
+++ b/packages/core/src/routed/routedArrival.ts
@@ -86,8 +86,9 @@
   arrival: Arrival,
   { route, holder }: RouteMatch,
 ): requestState.RequestState => {
-  const { call, nowMs } = arrival;
-  const deadlineAtMs = nowMs + Math.min(route.timeoutMs, call.deadlineMs ?? route.timeoutMs);
+  const { call } = arrival;
+  const arrivedAtMs = arrival.nowMs - arrival.waitedMs;
+  const deadlineAtMs = arrivedAtMs + Math.min(route.timeoutMs, call.deadlineMs ?? route.timeoutMs);
   const service = pickService(route, random.deriveFraction(arrival.random, 1));
   const tokensOut = routedState.estimateTokensOut(call);
   return {
@@ -102,17 +103,17 @@
     expectedTokens: tokensOut,
     isLong: tokensOut >= LONG_TOKENS,
     isRepeatable: route.kind === 'safe' || (route.kind === 'streaming' && route.isResumable),
-    isSuspect: quarantine.isSuspect(current.quarantine, call.fingerprint, nowMs),
+    isSuspect: quarantine.isSuspect(current.quarantine, call.fingerprint, arrival.nowMs),
     pin: null,
     hasMovedSession: false,
-    arrivedAtMs: nowMs,
+    arrivedAtMs,
     deadlineAtMs,
     priceMicros: 0,
     isBilled: false,
     routed: {
       call,
       route,
-      queueUntilMs: Math.min(deadlineAtMs, nowMs + route.targetLatencyMs * QUEUE_SHARE),
+      queueUntilMs: Math.min(deadlineAtMs, arrivedAtMs + route.targetLatencyMs * QUEUE_SHARE),
       model: modelChoice.pickFirstModel(route.sizes, call),
       priority: holder?.priority ?? route.priority,
       version: null,
@@ -142,6 +143,9 @@
     return routedRefusal.refuseCall(current, arrival, 'heldBack');
   }
   const request = makeRequest(current, arrival, lookup.value);
+  if (request.deadlineAtMs <= arrival.nowMs) {
+    return routedRefusal.refuseNotRun(current, request, 'overloaded', arrival);
+  }
   if (routedPlacement.listUpstreams(current, request.service).length === 0) {
     return routedRefusal.refuseNotRun(current, request, 'noUpstream', arrival);
   }
--- a/packages/router/src/routed/routedServer.ts
+++ b/packages/router/src/routed/routedServer.ts
@@ -106,6 +106,7 @@
       fingerprint: pending.fingerprint,
     },
     tableAgeMs: context.clock.getAgeMs(),
+    waitedMs: performance.now() - pending.arrivedAtMs,
   });
 };
 
