fix(core,router): sends check that they are still due, after the input that had arrived is read

A close, a leaving upstream or a withdrawn key that had arrived in the same turn was read after the send. Why this works: each send, on both interfaces, passes the barrier, and a new connection is used only after it. A routed send is then checked once more when it is written: deadline, key, upstream. An overdue one fails as unsent, without counting against the upstream or the send budget; it goes to another upstream, or is refused as not run. What is left of the deadline is computed when the request is written.

The test "a request whose caller disconnects is cancelled" closed its connection 100 ms after the send and hung once, beside the whole suite: the request had not been read by then and is now not sent at all.

--- a/packages-private/measure/__tests__/overdueWork.spec.ts
+++ b/packages-private/measure/__tests__/overdueWork.spec.ts
@@ -18,6 +18,8 @@
     `${H.requestId}: ${id}`,
     `${H.deadlineMs}: ${deadlineMs}`,
     `${H.key}: ${routedSite.KEY}`,
+    `${H.model}: *`,
+    `${H.tokens}: 100,100`,
     '',
     '',
   ].join('\r\n');
@@ -25,8 +27,8 @@
 const renderRequests = (count: number, path: string): readonly string[] =>
   Array.from({ length: count }, (_, index) => renderRequest(`gone-${index}`, path));
 
-const countReceived = (site: routedSite.RoutedSite): number =>
-  site.upstreams.flatMap((upstream) => upstream.received).filter(({ id }) => id.startsWith('gone-'))
+const countArrived = (site: routedSite.RoutedSite): number =>
+  site.upstreams.flatMap((upstream) => upstream.arrived).filter((id) => id.startsWith('gone-'))
     .length;
 
 const startSite = async (
@@ -58,7 +60,7 @@
       threadCaller.blockEventLoop(BLOCKED_MS);
       // eslint-disable-next-line no-await-in-loop -- the same
       await standIns.control.wait(SETTLED_MS);
-      t.is(countReceived(site), 0, path);
+      t.is(countArrived(site), 0, path);
     }
   },
 );
@@ -72,7 +74,7 @@
       threadCaller.blockEventLoop(BLOCKED_MS);
       // eslint-disable-next-line no-await-in-loop -- one kind of route after the other
       await standIns.control.wait(SETTLED_MS);
-      t.is(countReceived(site), 0, path);
+      t.is(countArrived(site), 0, path);
     }
   },
 );
@@ -85,7 +87,7 @@
     caller.sendAndLeave([renderRequest('gone-0', '/brief/')], BLOCKED_MS * 3);
     threadCaller.blockEventLoop(BLOCKED_MS);
     await standIns.control.wait(SETTLED_MS);
-    t.is(countReceived(site), 0);
+    t.is(countArrived(site), 0);
   },
 );
 
@@ -103,3 +105,42 @@
     t.true(Number(received?.headers[H.deadlineMs]) <= 1_500 - BLOCKED_MS);
   },
 );
+
+/** Sends one request to hanging upstreams; they answer, and then the caller leaves, while the event loop is blocked. */
+const answerAndLeave = async (
+  site: routedSite.RoutedSite,
+  caller: threadCaller.ThreadCaller,
+  path: string,
+  status: number,
+): Promise<void> => {
+  // Leaves an idle connection to each upstream, so that nothing delays a second send.
+  await Promise.all(
+    Array.from({ length: 8 }, (_, index) => site.call({ path: '/read/', id: `first-${index}` })),
+  );
+  site.upstreams.forEach((upstream) => {
+    upstream.behaviour = { kind: 'hang' };
+    upstream.confidence = 0;
+  });
+  await caller.connect(1);
+  caller.sendAndLeave([renderRequest('gone-0', path)], SETTLED_MS * 10);
+  await standIns.control.wait(SETTLED_MS);
+  site.upstreams.forEach((upstream) => upstream.answerHeld({ kind: 'head', status }));
+  caller.leave();
+  threadCaller.blockEventLoop(BLOCKED_MS);
+  await standIns.control.wait(SETTLED_MS);
+};
+
+test.serial(
+  'an answer of low confidence is not replaced for a caller that left in the same turn',
+  async (t) => {
+    const { site, caller } = await startSite(t, '127.0.22.5');
+    await answerAndLeave(site, caller, '/sized/', 200);
+    t.is(countArrived(site), 1);
+  },
+);
+
+test.serial('a failed answer is not retried for a caller that left in the same turn', async (t) => {
+  const { site, caller } = await startSite(t, '127.0.22.6');
+  await answerAndLeave(site, caller, '/read/', 500);
+  t.is(countArrived(site), 1);
+});
--- a/packages-private/measure/__tests__/routed.spec.ts
+++ b/packages-private/measure/__tests__/routed.spec.ts
@@ -236,7 +236,7 @@
 test('a request whose caller disconnects is cancelled on its upstream', async (t) => {
   const site = await routedSite.startRoutedSite('127.0.20.9', 1);
   setBehaviour(site, { kind: 'hang' });
-  await site.sendAndDisconnect({ path: '/read/', id: 'q1' }, 100);
+  await site.sendAndDisconnect({ path: '/read/', id: 'q1' });
   await standIns.control.waitUntil(() => site.upstreams[0]?.cancelled.includes('q1') === true);
   t.is(listReceived(site, 'q1').length, 1);
   await site.close();
--- a/packages-private/measure/__tests__/routedSite.ts
+++ b/packages-private/measure/__tests__/routedSite.ts
@@ -93,8 +93,8 @@
   /** Writes the entry of an upstream to the store. */
   readonly registerUpstream: (index: number, change?: object) => void;
   readonly call: (call: Call) => Promise<CallResponse>;
-  /** Sends a request and closes its connection after a time in milliseconds. */
-  readonly sendAndDisconnect: (call: Call, afterMs: number) => Promise<void>;
+  /** Sends a request and closes its connection once an upstream has received it. */
+  readonly sendAndDisconnect: (call: Call) => Promise<void>;
   readonly close: () => Promise<void>;
 }
 
@@ -190,11 +190,13 @@
     running,
     registerUpstream,
     call: (call) => sendCall(settings.callers, call, agent),
-    sendAndDisconnect: async (call, afterMs) => {
+    sendAndDisconnect: async (call) => {
       const request = openRequest(settings.callers, call, new http.Agent());
       request.on('error', () => undefined);
       request.end(call.body);
-      await standIns.control.wait(afterMs);
+      await standIns.control.waitUntil(() =>
+        upstreams.some(({ received }) => received.some(({ id }) => id === call.id)),
+      );
       request.destroy();
     },
     close: async () => {
--- a/packages-private/stand-ins/src/routedUpstream.ts
+++ b/packages-private/stand-ins/src/routedUpstream.ts
@@ -30,6 +30,8 @@
   | { readonly kind: 'short' }
   /** An answer without a length that ends with its connection, by a close or by a reset. */
   | { readonly kind: 'unframed'; readonly cut: 'no' | 'atOnce' | 'later' }
+  /** The head of an answer, which is written in the same turn of the event loop. */
+  | { readonly kind: 'head'; readonly status: number }
   /** An answer without the stamp of the upstream. */
   | { readonly kind: 'unsigned' };
 
@@ -38,11 +40,15 @@
   readonly id: string;
   readonly address: string;
   readonly received: readonly ReceivedRequest[];
+  /** Ids of all requests whose head arrived, also of those that broke off after it. */
+  readonly arrived: readonly string[];
   /** Requests whose connection the router closed before the answer was complete. */
   readonly cancelled: readonly string[];
   /** Confidence that is sent in the head of a stream; null for none. */
   confidence: number | null;
   behaviour: Behaviour;
+  /** Answers the requests that hang, in the same turn of the event loop. */
+  readonly answerHeld: (behaviour: Behaviour) => void;
   readonly close: () => Promise<void>;
 }
 
@@ -143,6 +149,19 @@
       }
     }, EVENT_INTERVAL_MS * 4);
   },
+  head: ({ behaviour, id, confidence }, received, { socket }) => {
+    const status = behaviour.kind === 'head' ? behaviour.status : 200;
+    socket?.write(
+      [
+        `HTTP/1.1 ${status} Status`,
+        `${H.requestId}: ${received.id}`,
+        `${H.stamp}: of-${id}`,
+        `${H.confidence}: ${confidence ?? 100}`,
+        'content-length: 0',
+        '\r\n',
+      ].join('\r\n'),
+    );
+  },
   unsigned: (_, received, response) => {
     response.setHeader(H.requestId, received.id);
     response.end('unsigned');
@@ -160,12 +179,15 @@
 /** Starts a stand-in of an upstream behind routes. */
 export const startRoutedUpstream = async (id: string): Promise<RoutedUpstream> => {
   const received: ReceivedRequest[] = [];
+  const arrived: string[] = [];
   const cancelled: string[] = [];
+  let held: (() => void)[] = [];
   const state: { confidence: number | null; behaviour: Behaviour } = {
     confidence: null,
     behaviour: { kind: 'answer', status: 200, body: `from ${id}` },
   };
   const server = http.createServer((request, response) => {
+    arrived.push(String(request.headers[H.requestId]));
     const serve = async (upstream: RoutedUpstream): Promise<void> => {
       const body = await readText(request);
       const receivedRequest: ReceivedRequest = {
@@ -181,6 +203,10 @@
           cancelled.push(receivedRequest.id);
         }
       });
+      if (upstream.behaviour.kind === 'hang') {
+        held.push(() => RESPONDERS[upstream.behaviour.kind](upstream, receivedRequest, response));
+        return;
+      }
       RESPONDERS[upstream.behaviour.kind](upstream, receivedRequest, response);
     };
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the server starts first
@@ -194,7 +220,14 @@
     id,
     address: `127.0.0.1:${port}`,
     received,
+    arrived,
     cancelled,
+    answerHeld: (behaviour: Behaviour) => {
+      state.behaviour = behaviour;
+      const answers = held;
+      held = [];
+      answers.forEach((answer) => answer());
+    },
     close: async () => {
       server.closeAllConnections();
       server.close();
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -23,10 +23,10 @@
 /**
  * Reason why an attempt of a routed request ended without a complete answer. `turnedAway`: the
  * upstream reported that it did not run the request. `misdirected`: another upstream listens at the
- * address.
+ * address. `overdue`: when the request was about to be sent, it was no longer due there.
  */
 export type RoutedFailure =
-  'unreachable' | 'broken' | 'silent' | 'garbage' | 'turnedAway' | 'misdirected';
+  'unreachable' | 'broken' | 'silent' | 'garbage' | 'turnedAway' | 'misdirected' | 'overdue';
 
 /** Payloads of all events, by type. */
 export interface EventPayloads {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -11,6 +11,7 @@
 export * as membership from './membership/membership.js';
 export * as memberTable from './membership/memberTable.js';
 export * as orders from './orders/orders.js';
+export * as overdueSend from './routed/overdueSend.js';
 export * as policy from './policy.js';
 export * as quarantine from './quarantine.js';
 export * as ratings from './ratings.js';
--- a/packages/core/src/routed/routedRetry.ts
+++ b/packages/core/src/routed/routedRetry.ts
@@ -10,6 +10,7 @@
 import * as slots from '../slots.js';
 import * as transition from '../transition.js';
 import type * as upstreamState from '../upstreamState.js';
+import * as overdueSend from './overdueSend.js';
 import * as routedContext from './routedContext.js';
 import * as routedRefusal from './routedRefusal.js';
 import type * as routedState from './routedState.js';
@@ -134,6 +135,7 @@
   garbage: () => (upstream) => upstream,
   turnedAway: markFull,
   misdirected: () => markLeaving,
+  overdue: () => (upstream) => upstream,
 };
 
 /** Aborts an answer that has begun and that no upstream can continue; the caller sees that it is incomplete. */
@@ -184,6 +186,7 @@
   // Used only if an earlier send may have been executed; otherwise the request is refused as not run.
   turnedAway: 'upstreamFailed',
   misdirected: 'upstreamFailed',
+  overdue: 'deadlineExceeded',
 };
 
 /** Sends a request again if that is safe and allowed; otherwise ends it without an answer. */
@@ -197,6 +200,9 @@
   if (request === undefined || routed === null) {
     return transition.makeTransition(current);
   }
+  if (!overdueSend.isKeyHeld(current, request)) {
+    return routedRefusal.endUnanswered(current, request, FAILURE_CODES[event.failure], event);
+  }
   const canRepeat = request.isRepeatable || routedRefusal.countPossibleExecutions(request) === 0;
   return canRepeat && canSendAgain(current, request, routed, event.nowMs)
     ? sendAgain(current, request, event)
--- a/packages/router/__tests__/outgoing.spec.ts
+++ b/packages/router/__tests__/outgoing.spec.ts
@@ -2,6 +2,7 @@
 import type * as net from 'node:net';
 import test from 'ava';
 import * as stores from '@jayrock/stores';
+import * as inputBarrier from '../src/eventLoop/inputBarrier.js';
 import * as rpcClient from '../src/peers/rpcClient.js';
 import * as connectionPools from '../src/upstreams/connectionPools.js';
 
@@ -39,7 +40,7 @@
   const listener = await startListener();
   const client = rpcClient.makeRpcClient('a-secret-of-the-tests', LOCAL_ADDRESS);
   await client.call(listener.address, 'getSession', { session: 'x' });
-  const pools = connectionPools.makeConnectionPools(LOCAL_ADDRESS);
+  const pools = connectionPools.makeConnectionPools(LOCAL_ADDRESS, inputBarrier.makeInputBarrier());
   const response = await pools.get(listener.address).request({ method: 'GET', path: '/' });
   await response.body.dump();
   const store = stores.etcdStore.openEtcdStore(listener.address, LOCAL_ADDRESS);
--- a/packages/router/__tests__/routedAttempt.spec.ts
+++ b/packages/router/__tests__/routedAttempt.spec.ts
@@ -2,6 +2,7 @@
 import * as net from 'node:net';
 import test from 'ava';
 import type * as undici from 'undici';
+import type * as inputBarrier from '../src/eventLoop/inputBarrier.js';
 import type * as pendingRoutedRequest from '../src/routed/pendingRoutedRequest.js';
 import * as routedAttempt from '../src/routed/routedAttempt.js';
 import type * as connectionPools from '../src/upstreams/connectionPools.js';
@@ -41,6 +42,13 @@
   };
 };
 
+/** A barrier that runs all work at once. */
+const IMMEDIATE_BARRIER: inputBarrier.InputBarrier = {
+  run: (work) => work(),
+  recordConnection: () => undefined,
+  stop: () => undefined,
+};
+
 const makePending = (): pendingRoutedRequest.PendingRoutedRequest => ({
   id: 'a',
   callerRequestId: 'a',
@@ -61,6 +69,7 @@
 
 const startAttempt = (
   pools: connectionPools.ConnectionPools,
+  detectOverdue: () => string | null = () => null,
 ): {
   readonly running: pendingRoutedRequest.RunningAttempt;
   readonly failures: routedAttempt.RoutedAttemptFailure[];
@@ -68,6 +77,7 @@
   const failures: routedAttempt.RoutedAttemptFailure[] = [];
   const running = routedAttempt.startRoutedAttempt(
     pools,
+    IMMEDIATE_BARRIER,
     {
       pending: makePending(),
       attemptId: 1,
@@ -87,6 +97,7 @@
       handleHead: () => undefined,
       handleEnd: () => undefined,
       handleFailure: (failure) => failures.push(failure),
+      detectOverdue,
       handleSent: () => undefined,
       handleActivity: () => undefined,
       handleClose: () => undefined,
@@ -114,3 +125,14 @@
   running.dropUnsent();
   t.deepEqual(failures, []);
 });
+
+test('a request that is overdue when it gets its connection is not sent', (t) => {
+  const { pools, open } = makePools();
+  let overdue: string | null = null;
+  const { failures } = startAttempt(pools, () => overdue);
+  overdue = 'keyWithdrawn';
+  t.not(open(), null);
+  t.deepEqual(failures, [
+    { failure: 'overdue', isUnsent: true, isNotRun: true, reason: 'keyWithdrawn' },
+  ]);
+});
--- a/packages/router/src/effectRunners.ts
+++ b/packages/router/src/effectRunners.ts
@@ -5,6 +5,7 @@
 import * as problem from './callers/problem.js';
 import * as sessionToken from './callers/sessionToken.js';
 import type * as claimService from './claims/claimService.js';
+import type * as inputBarrier from './eventLoop/inputBarrier.js';
 import type * as ledgerService from './ledger/ledgerService.js';
 import type * as namedSessions from './namedSessions.js';
 import type * as orderService from './orders/orderService.js';
@@ -22,6 +23,7 @@
   readonly settings: shared.settings.Settings;
   readonly pending: Map<string, pendingRequest.PendingRequest>;
   readonly pools: connectionPools.ConnectionPools;
+  readonly barrier: inputBarrier.InputBarrier;
   readonly interTokens: interTokenMonitor.InterTokenMonitor;
   readonly rating: stores.ratingService.RatingService;
   readonly claims: claimService.ClaimService;
--- a/packages/router/src/routed/routedAttempt.ts
+++ b/packages/router/src/routed/routedAttempt.ts
@@ -1,6 +1,7 @@
 import type * as core from '@jayrock/core';
 import * as platform from '@jayrock/platform';
 import type * as undici from 'undici';
+import type * as inputBarrier from '../eventLoop/inputBarrier.js';
 import * as attemptFailure from '../upstreams/attemptFailure.js';
 import type * as connectionPools from '../upstreams/connectionPools.js';
 import * as eventSplitter from './eventSplitter.js';
@@ -23,6 +24,8 @@
   readonly handleEnd: (stream: StreamSummary) => void;
   /** The attempt has failed; called at most once. */
   readonly handleFailure: (failure: RoutedAttemptFailure) => void;
+  /** Returns why the request is no longer due on this upstream, or null if it is. */
+  readonly detectOverdue: () => string | null;
   /** The request was handed to a connection. */
   readonly handleSent: () => void;
   /** Bytes of an answer have arrived. */
@@ -81,9 +84,13 @@
   return isSuccess(status) && isUnverified ? 'the answer is not signed' : null;
 };
 
-/** Starts an attempt: validates the answer, buffers it until `forward` is called, then forwards it to the caller. */
+/**
+ * Starts an attempt: sends the request after the input that had arrived has been read, validates the answer, buffers
+ * it until `forward` is called, then forwards it to the caller.
+ */
 export const startRoutedAttempt = (
   pools: connectionPools.ConnectionPools,
+  barrier: inputBarrier.InputBarrier,
   attempt: RoutedAttempt,
   listener: RoutedAttemptListener,
 ): pendingRoutedRequest.RunningAttempt => {
@@ -275,46 +282,65 @@
     fail({ failure, isUnsent, isNotRun: isUnsent, reason: error.message });
   };
 
-  restartTimeout(send.headTimeoutMs);
-  pools.get(attempt.address).dispatch(
-    {
-      method: pending.method,
-      path: pending.url,
-      headers: platform.callHeaders.makeUpstreamHeaders(pending.rawHeaders, pending.headers, {
-        upstreamId: attempt.upstreamId,
-        timeLeftMs: send.timeLeftMs,
-        organisation: send.organisation,
-        model: send.model,
-        urgency: send.priority,
-        lastEventId: pending.lastEventId,
-      }),
-      body: pending.body.length === 0 ? null : pending.body,
-      idempotent: false,
-    },
-    {
-      onRequestStart: (started) => {
-        controller = started;
-        if (isCancelled || isClosed) {
-          started.abort(new Error('cancelled before it was sent'));
-          return;
-        }
-        isStarted = true;
-        listener.handleSent();
-      },
-      onResponseStart: (_, status, headers) => {
-        listener.handleActivity();
-        if (!isClosed && status >= FIRST_SUCCESS_STATUS) {
-          handleResponse(status, headers);
-        }
+  /** Fails the attempt as unsent if the request is no longer due; returns whether it did. */
+  const failIfOverdue = (): boolean => {
+    const overdue = listener.detectOverdue();
+    if (overdue !== null) {
+      fail({ failure: 'overdue', isUnsent: true, isNotRun: true, reason: overdue });
+    }
+    return overdue !== null;
+  };
+  const startedAtMs = performance.now();
+  const makeHeaders = (): string[] =>
+    platform.callHeaders.makeUpstreamHeaders(pending.rawHeaders, pending.headers, {
+      upstreamId: attempt.upstreamId,
+      timeLeftMs: Math.max(1, Math.floor(send.timeLeftMs - (performance.now() - startedAtMs))),
+      organisation: send.organisation,
+      model: send.model,
+      urgency: send.priority,
+      lastEventId: pending.lastEventId,
+    });
+  const sendRequest = (): void => {
+    if (isCancelled || isClosed || failIfOverdue()) {
+      return;
+    }
+    pools.get(attempt.address).dispatch(
+      {
+        method: pending.method,
+        path: pending.url,
+        headers: makeHeaders(),
+        body: pending.body.length === 0 ? null : pending.body,
+        idempotent: false,
       },
-      onResponseData: (_, bytes) => {
-        listener.handleActivity();
-        handleData(bytes);
+      {
+        onRequestStart: (started) => {
+          controller = started;
+          // The request may have waited for a connection.
+          if (isCancelled || isClosed || failIfOverdue()) {
+            started.abort(new Error('cancelled before it was sent'));
+            return;
+          }
+          isStarted = true;
+          listener.handleSent();
+        },
+        onResponseStart: (_, status, headers) => {
+          listener.handleActivity();
+          if (!isClosed && status >= FIRST_SUCCESS_STATUS) {
+            handleResponse(status, headers);
+          }
+        },
+        onResponseData: (_, bytes) => {
+          listener.handleActivity();
+          handleData(bytes);
+        },
+        onResponseEnd: handleEnd,
+        onResponseError: (_, error) => handleError(error),
       },
-      onResponseEnd: handleEnd,
-      onResponseError: (_, error) => handleError(error),
-    },
-  );
+    );
+  };
+
+  restartTimeout(send.headTimeoutMs);
+  barrier.run(sendRequest);
   return {
     cancel: () => {
       isCancelled = true;
--- a/packages/router/src/routed/routedRunners.ts
+++ b/packages/router/src/routed/routedRunners.ts
@@ -1,6 +1,7 @@
-import type * as core from '@jayrock/core';
+import * as core from '@jayrock/core';
 import * as shared from '@jayrock/shared';
 import type * as pino from 'pino';
+import type * as inputBarrier from '../eventLoop/inputBarrier.js';
 import type * as peerService from '../peers/peerService.js';
 import type * as routerRuntime from '../routerRuntime.js';
 import * as attemptFailure from '../upstreams/attemptFailure.js';
@@ -20,6 +21,7 @@
   readonly peers: peerService.PeerService;
   readonly source: routeSource.RouteSource;
   readonly reachability: reachabilityMonitor.ReachabilityMonitor;
+  readonly barrier: inputBarrier.InputBarrier;
   readonly metrics: routedMetrics.RoutedMetrics;
   readonly log: pino.Logger;
 }
@@ -75,6 +77,7 @@
   pending.sends.push(times);
   const running = routedAttempt.startRoutedAttempt(
     context.pools,
+    context.barrier,
     { pending, attemptId, upstreamId, address, send },
     {
       handleHead: (head) => {
@@ -111,6 +114,13 @@
           detectCrash(context, upstreamId, address, fingerprint);
         }
       },
+      detectOverdue: () =>
+        core.overdueSend.detectOverdue(
+          context.runtime.getState(),
+          requestId,
+          upstreamId,
+          context.runtime.getNowMs(),
+        ),
       handleSent: () => {
         times.sentMs = getElapsedMs();
       },
--- a/packages/router/src/routed/startRoutedRouter.ts
+++ b/packages/router/src/routed/startRoutedRouter.ts
@@ -155,6 +155,7 @@
   const clock = freshnessClock.makeFreshnessClock();
   const source = makeSource({ runtime, log, clock }, settings, platform, baseDir);
   const client = rpcClient.makeRpcClient(settings.peerSecret, getLocalAddress(settings));
+  const barrier = inputBarrier.makeInputBarrier();
   const parts: RoutedRouterParts = {
     runtime,
     log,
@@ -163,10 +164,10 @@
     client,
     metrics: routedMetrics.makeRoutedMetrics(),
     pending: new Map(),
-    pools: connectionPools.makeConnectionPools(getLocalAddress(settings)),
+    pools: connectionPools.makeConnectionPools(getLocalAddress(settings), barrier),
     reachability: reachabilityMonitor.startReachabilityMonitor(runtime),
     peers: peerService.startPeerService(runtime, client),
-    barrier: inputBarrier.makeInputBarrier(),
+    barrier,
     loop: loopMonitor.startLoopMonitor((turnMs) =>
       log.warn({ turnMs: Math.round(turnMs) }, 'event loop delayed'),
     ),
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -169,12 +169,12 @@
     }),
   );
   const pending = new Map<string, pendingRequest.PendingRequest>();
-  const pools = connectionPools.makeConnectionPools(getLocalAddress(settings));
+  const barrier = inputBarrier.makeInputBarrier();
+  const pools = connectionPools.makeConnectionPools(getLocalAddress(settings), barrier);
   const interTokens = interTokenMonitor.startInterTokenMonitor(runtime);
   const loop = loopMonitor.startLoopMonitor((turnMs) =>
     log.warn({ turnMs: Math.round(turnMs) }, 'event loop delayed'),
   );
-  const barrier = inputBarrier.makeInputBarrier();
   const levels = serviceLevels.makeServiceLevels();
   const services = startServices(runtime, settings, platform, log);
   const runnerContext: effectRunners.RunnerContext = {
@@ -182,6 +182,7 @@
     settings,
     pending,
     pools,
+    barrier,
     interTokens,
     rating: platform.rating,
     levels,
--- a/packages/router/src/upstreams/attemptRunner.ts
+++ b/packages/router/src/upstreams/attemptRunner.ts
@@ -165,8 +165,16 @@
   call: startCall,
 };
 
-/** Starts an attempt and stores its cancel function. */
+/**
+ * Starts an attempt after the input that had arrived has been read, unless it is cancelled by then, and stores its
+ * cancel function.
+ */
 export const startAttempt = (context: Context, pending: Pending, effect: StartEffect): void => {
-  const cancel = STARTERS[pending.shape.kind](context, pending, effect);
-  pending.attempts.set(effect.attemptId, cancel);
+  const { attemptId } = effect;
+  pending.attempts.set(attemptId, () => undefined);
+  context.barrier.run(() => {
+    if (pending.attempts.has(attemptId) && context.pending.has(pending.requestId)) {
+      pending.attempts.set(attemptId, STARTERS[pending.shape.kind](context, pending, effect));
+    }
+  });
 };
--- a/packages/router/src/upstreams/connectionPools.ts
+++ b/packages/router/src/upstreams/connectionPools.ts
@@ -1,6 +1,7 @@
 import type * as net from 'node:net';
 import * as stream from 'node:stream';
 import * as undici from 'undici';
+import type * as inputBarrier from '../eventLoop/inputBarrier.js';
 
 /** Connect timeout, in milliseconds; live upstreams accept within a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -58,15 +59,21 @@
   };
 };
 
-/** Wraps the library's connector, so that a close is recorded before the library handles it. */
-const makeConnector = (closing: ClosingConnection): Connector => {
+/**
+ * Wraps the library's connector, so that a close is recorded before the library handles it, and a new connection is
+ * used only after the input that had arrived has been read: the request may no longer be wanted.
+ */
+const makeConnector = (
+  closing: ClosingConnection,
+  barrier: inputBarrier.InputBarrier,
+): Connector => {
   const connect = undici.buildConnector({ timeout: CONNECT_TIMEOUT_MS });
   return (options, done) =>
     connect(options, (...result) => {
       const [, socket] = result;
       socket?.on('error', () => closing.record(socket, true));
       socket?.on('end', () => closing.record(socket, false));
-      done(...result);
+      barrier.run(() => done(...result));
     });
 };
 
@@ -81,10 +88,13 @@
   });
 
 /** Makes an empty set of connection pools. */
-export const makeConnectionPools = (localAddress: string): ConnectionPools => {
+export const makeConnectionPools = (
+  localAddress: string,
+  barrier: inputBarrier.InputBarrier,
+): ConnectionPools => {
   const pools = new Map<string, undici.Pool>();
   const closing = makeClosingConnection();
-  const connect = makeConnector(closing);
+  const connect = makeConnector(closing, barrier);
   const get = (address: string): undici.Pool => {
     const pool = pools.get(address) ?? openPool(address, localAddress, connect);
     pools.set(address, pool);
