fix(router): time-outs read the input that had arrived before they give an answer up

Callers saw: an answer in time was thrown away for a second send, or for a 504. Cause, the same class: after a long turn of the event loop timers run before the sockets are read, so a time-out judged an upstream by answers that lay unread. It also renewed the pool of that upstream. Why this works: time-outs of attempts, of the queue and of routes pass the barrier; one that an answer restarts meanwhile has no effect.

Tests: overdueWork.spec.ts, "an answer that arrived ..."; before: 2 sends instead of 1, and 504 instead of 200.

--- a/packages-private/measure/__tests__/overdueWork.spec.ts
+++ b/packages-private/measure/__tests__/overdueWork.spec.ts
@@ -144,3 +144,42 @@
   await answerAndLeave(site, caller, '/read/', 500);
   t.is(countArrived(site), 1);
 });
+
+/** Calls hanging upstreams, which answer after a time while the event loop is blocked until the time-out has passed. */
+const answerWhileBlocked = async (
+  site: routedSite.RoutedSite,
+  path: string,
+  answerAfterMs: number,
+): Promise<routedSite.CallResponse> => {
+  site.upstreams.forEach((upstream) => {
+    upstream.behaviour = { kind: 'hang' };
+  });
+  const response = site.call({ path, id: 'gone-0' });
+  await standIns.control.wait(answerAfterMs);
+  // Timers run before the next poll only if the loop is blocked after its timers.
+  await new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+  site.upstreams.forEach((upstream) => upstream.answerHeld({ kind: 'head', status: 200 }));
+  threadCaller.blockEventLoop(BLOCKED_MS);
+  return response;
+};
+
+test.serial(
+  'an answer that arrived in time is not replaced because the event loop was blocked',
+  async (t) => {
+    const { site } = await startSite(t, '127.0.22.7');
+    // The upstream of this route counts as silent after 1,000 ms.
+    t.is((await answerWhileBlocked(site, '/read/', 850)).status, 200);
+    t.is(countArrived(site), 1);
+  },
+);
+
+test.serial(
+  'an answer that arrived before the route time-out is given, although the event loop was blocked',
+  async (t) => {
+    const { site } = await startSite(t, '127.0.22.8');
+    // The time-out of this route is 200 ms.
+    t.is((await answerWhileBlocked(site, '/brief/', 50)).status, 200);
+  },
+);
--- a/packages/router/src/effectRunners.ts
+++ b/packages/router/src/effectRunners.ts
@@ -216,8 +216,12 @@
   finishAnswer: (effect) =>
     withPending(context, effect.requestId, (pending) => finishAnswer(context, pending, effect)),
   armTimer: (effect) => {
+    // An answer that had arrived in time is read before its request expires.
     setTimeout(
-      () => context.runtime.dispatch({ type: 'timerFired', timer: effect.timer }),
+      () =>
+        context.barrier.run(() =>
+          context.runtime.dispatch({ type: 'timerFired', timer: effect.timer }),
+        ),
       effect.delayMs,
     ).unref();
   },
--- a/packages/router/src/routed/routedAttempt.ts
+++ b/packages/router/src/routed/routedAttempt.ts
@@ -108,6 +108,7 @@
   let firstEventAtMs = 0;
   let lastEventAtMs = 0;
   let timer: NodeJS.Timeout | null = null;
+  let timeoutCount = 0;
 
   const closeAttempt = (): void => {
     if (!isClosed) {
@@ -116,6 +117,7 @@
     }
   };
   const stopTimer = (): void => {
+    timeoutCount += 1;
     if (timer !== null) {
       clearTimeout(timer);
       timer = null;
@@ -135,16 +137,23 @@
     fail({ failure, isUnsent: !isStarted, isNotRun: !isStarted, reason });
   };
   /**
-   * Restarts the timeout of the attempt. When it fires, the attempt fails, and the pool of the upstream is renewed,
-   * since its open connections may be dead.
+   * Restarts the timeout of the attempt. When it fires, and no input that had arrived restarts it, the attempt fails,
+   * and the pool of the upstream is renewed, since its open connections may be dead.
    */
   const restartTimeout = (timeoutMs: number): void => {
     stopTimer();
     if (Number.isFinite(timeoutMs)) {
-      timer = setTimeout(() => {
-        pools.renew(attempt.address);
-        abortAndFail('silent', `no answer within ${Math.round(timeoutMs)} ms`);
-      }, timeoutMs);
+      const count = timeoutCount;
+      timer = setTimeout(
+        () =>
+          barrier.run(() => {
+            if (count === timeoutCount) {
+              pools.renew(attempt.address);
+              abortAndFail('silent', `no answer within ${Math.round(timeoutMs)} ms`);
+            }
+          }),
+        timeoutMs,
+      );
     }
   };
   /** Applies backpressure: pauses the upstream while the caller's buffer is full, which bounds memory. */
--- a/packages/router/src/routed/routedRunners.ts
+++ b/packages/router/src/routed/routedRunners.ts
@@ -222,8 +222,12 @@
     refuse: (effect) =>
       withPending(effect.requestId, (pending) => refuse(context, pending, effect)),
     armTimer: (effect) => {
+      // An answer that had arrived in time is read before its request expires.
       setTimeout(
-        () => context.runtime.dispatch({ type: 'timerFired', timer: effect.timer }),
+        () =>
+          context.barrier.run(() =>
+            context.runtime.dispatch({ type: 'timerFired', timer: effect.timer }),
+          ),
         effect.delayMs,
       ).unref();
     },
