fix(core): a version that delays some of its answers is rolled back

Cause: slowness was judged for each kind of request alone, by a mean time three times that of the previous version. Why this works: a second estimate takes all kinds together, each difference weighted by its variance. It varies less, so a ratio of 1.35 and 4.5 standard errors are enough. The errors are those of equal versions, since delays of some answers widen the candidate's own spread.

--- a/packages/core/__tests__/canaryState.spec.ts
+++ b/packages/core/__tests__/canaryState.spec.ts
@@ -20,8 +20,8 @@
   /** Failure shares of the previous version and, by time and kind, of the new one. */
   readonly oldFailures: number;
   readonly newFailures: (atMs: number, kind: string) => number;
-  /** Ratio of the new version's answer times to those of the previous one. */
-  readonly slowness: (kind: string) => number;
+  /** Ratio of the new version's answer times to those of the previous one; `fraction` is uniform in [0, 1). */
+  readonly slowness: (kind: string, fraction: number, atMs: number) => number;
 }
 
 interface Outcome {
@@ -48,7 +48,9 @@
     exposed += Number(isNew);
     const hasFailed = draw() < (isNew ? load.newFailures(nowMs, kind) : load.oldFailures);
     const noise = Math.exp((draw() + draw() + draw() - 1.5) * 1.6);
-    const elapsedMs = hasFailed ? null : 60 * noise * (isNew ? load.slowness(kind) : 1);
+    const elapsedMs = hasFailed
+      ? null
+      : 60 * noise * (isNew ? load.slowness(kind, draw(), nowMs) : 1);
     canary = core.canaryState.recordAnswer(canary, 'r1', { kind, isNew, elapsedMs }, nowMs);
     canary = core.canaryState.evaluateCanary(canary);
     const end = core.canaryState.evaluateOutcome(canary, 0, nowMs);
@@ -76,11 +78,22 @@
     .forEach((outcome) => t.true((outcome.endedAtMs ?? Infinity) < ORDER.periodMs));
 });
 
+test('a good version whose caches are cold at first completes', (t) => {
+  const outcomes = SEEDS.map((seed) =>
+    simulateRollout({ ...GOOD, seed, slowness: (_, __, atMs) => (atMs < 5_000 ? 1.25 : 1) }),
+  );
+  t.true(outcomes.filter((outcome) => outcome.isBad).length <= 1);
+});
+
 const BAD: readonly (readonly [string, Omit<Load, 'seed'>])[] = [
   ['fails at once', { ...GOOD, newFailures: () => 0.4 }],
   ['fails late', { ...GOOD, newFailures: (atMs) => (atMs > 11_000 ? 0.5 : 0.05) }],
   ['fails on one route', { ...GOOD, newFailures: (_, kind) => (kind === 'read|' ? 0.6 : 0.05) }],
   ['is slow', { ...GOOD, slowness: () => 8 }],
+  [
+    'is slow for half of its answers',
+    { ...GOOD, slowness: (_, fraction) => (fraction < 0.5 ? 4 : 1) },
+  ],
   ['is slow on one route', { ...GOOD, slowness: (kind) => (kind === 'read|' ? 8 : 1) }],
 ];
 
--- a/packages/core/src/routed/canaryEvidence.ts
+++ b/packages/core/src/routed/canaryEvidence.ts
@@ -47,6 +47,14 @@
 const SLOW_STANDARD_ERRORS = 5;
 /** Timed answers that the canary and the previous versions each need before slowness is evaluated. */
 const MIN_TIMED = 6;
+/**
+ * The same ratio and standard errors for all kinds of request together. They are lower, because one estimate from all
+ * answers varies less, and because a version that delays only some of its answers raises the mean by less.
+ */
+const POOLED_SLOW_RATIO = 1.35;
+const POOLED_STANDARD_ERRORS = 4.5;
+/** Timed answers of the canary that the estimate over all kinds needs. */
+const MIN_POOLED_TIMED = 20;
 /** Lower bound of the standard deviation of log times, since few samples underestimate it. */
 const MIN_LOG_SPREAD = 0.5;
 
@@ -122,13 +130,17 @@
 const computeLogMean = (totals: EvidenceTotals): number =>
   totals.logSum / Math.max(1, totals.timed);
 
-/** Computes the variance of the mean of the log times. */
-const computeLogMeanVariance = (totals: EvidenceTotals): number => {
+/** Computes the variance of the log times. */
+const computeLogVariance = (totals: EvidenceTotals): number => {
   const mean = computeLogMean(totals);
   const variance = totals.logSquareSum / Math.max(1, totals.timed) - mean * mean;
-  return Math.max(MIN_LOG_SPREAD ** 2, variance) / Math.max(1, totals.timed);
+  return Math.max(MIN_LOG_SPREAD ** 2, variance);
 };
 
+/** Computes the variance of the mean of the log times. */
+const computeLogMeanVariance = (totals: EvidenceTotals): number =>
+  computeLogVariance(totals) / Math.max(1, totals.timed);
+
 /** Returns whether the candidate's geometric mean time exceeds SLOW_RATIO times the baseline's, with significance. */
 const isSlow = (candidate: EvidenceTotals, baseline: EvidenceTotals): boolean => {
   if (candidate.timed < MIN_TIMED || baseline.timed < MIN_TIMED) {
@@ -143,13 +155,46 @@
   );
 };
 
+/** Evidence on one kind of request. */
+interface KindTotals {
+  readonly candidate: EvidenceTotals;
+  readonly baseline: EvidenceTotals;
+}
+
+/**
+ * Returns whether the candidate is slower over all kinds of request, by the mean of the differences of the kinds,
+ * weighted by the inverse of their variances. These are those of equal versions: delays of some answers would widen
+ * the candidate's own spread and hide themselves.
+ */
+const isSlowOverall = (kinds: readonly KindTotals[]): boolean => {
+  const comparable = kinds.filter(
+    ({ candidate, baseline }) => candidate.timed > 0 && baseline.timed >= MIN_TIMED,
+  );
+  const timed = comparable.reduce((sum, { candidate }) => sum + candidate.timed, 0);
+  if (timed < MIN_POOLED_TIMED) {
+    return false;
+  }
+  let weightSum = 0;
+  let differenceSum = 0;
+  comparable.forEach(({ candidate, baseline }) => {
+    const weight = 1 / (computeLogVariance(baseline) * (1 / candidate.timed + 1 / baseline.timed));
+    weightSum += weight;
+    differenceSum += weight * (computeLogMean(candidate) - computeLogMean(baseline));
+  });
+  const difference = differenceSum / weightSum;
+  return (
+    difference > Math.log(POOLED_SLOW_RATIO) &&
+    difference > POOLED_STANDARD_ERRORS / Math.sqrt(weightSum)
+  );
+};
+
 const listKinds = (rows: readonly EvidenceRow[]): readonly string[] =>
   Array.from(new Set(rows.map((row) => row.kind)));
 
 /** Number of most recent epochs whose slowness is also evaluated alone, to detect a version that becomes slow late. */
 const SLOW_EPOCHS = 5;
 
-/** Returns whether the canary's version fails too often, overall or for one kind of request, or is slow for one. */
+/** Returns whether the canary's version fails too often or is slow, overall or for one kind of request. */
 export const isBadVersion = (rows: readonly EvidenceRow[]): boolean => {
   const candidate = rows.filter((row) => row.isNew);
   const baseline = rows.filter((row) => !row.isNew);
@@ -157,16 +202,26 @@
     return true;
   }
   const lastEpoch = Math.max(...candidate.map((row) => row.epoch));
-  return listKinds(candidate).some((kind) => {
-    const candidateOfKind = candidate.filter((row) => row.kind === kind);
-    const baselineOfKind = sumRows(baseline.filter((row) => row.kind === kind));
-    const recent = candidateOfKind.filter((row) => row.epoch > lastEpoch - SLOW_EPOCHS);
-    return (
-      isFailing(candidateOfKind, baselineOfKind) ||
-      isSlow(sumRows(candidateOfKind), baselineOfKind) ||
-      isSlow(sumRows(recent), baselineOfKind)
-    );
+  const kinds = listKinds(candidate).map((kind) => {
+    const rowsOfKind = candidate.filter((row) => row.kind === kind);
+    const recentRows = rowsOfKind.filter((row) => row.epoch > lastEpoch - SLOW_EPOCHS);
+    return {
+      rows: rowsOfKind,
+      candidate: sumRows(rowsOfKind),
+      recent: sumRows(recentRows),
+      baseline: sumRows(baseline.filter((row) => row.kind === kind)),
+    };
   });
+  return (
+    isSlowOverall(kinds) ||
+    isSlowOverall(kinds.map(({ recent, baseline: of }) => ({ candidate: recent, baseline: of }))) ||
+    kinds.some(
+      (kind) =>
+        isFailing(kind.rows, kind.baseline) ||
+        isSlow(kind.candidate, kind.baseline) ||
+        isSlow(kind.recent, kind.baseline),
+    )
+  );
 };
 
 /** Adds one answer to a row; `elapsedMs` is null for a failure. */
