fix(router): bytes without end from an upstream are cut off

Not bounded were: - the rest of a failed routed answer, such as a refusal marked as not run: it was read to its end, which never came, also after its request had been answered elsewhere; now 64 KB are read, so that the connection can be used again; - a chat stream without an end of line, whose buffer grew, while each chunk restarted the time-out; now 1 MB an event; - the body of a call to a plain service; now 16 MB.

--- a/packages-private/stand-ins/src/routedUpstream.ts
+++ b/packages-private/stand-ins/src/routedUpstream.ts
@@ -32,6 +32,8 @@
   | { readonly kind: 'unframed'; readonly cut: 'no' | 'atOnce' | 'later' }
   /** The head of an answer, which is written in the same turn of the event loop. */
   | { readonly kind: 'head'; readonly status: number }
+  /** Bytes without end in the head of an answer, in its body, or in the body of a refusal marked as not run. */
+  | { readonly kind: 'endless'; readonly part: 'head' | 'body' | 'refusal' }
   /** An answer without the stamp of the upstream. */
   | { readonly kind: 'unsigned' };
 
@@ -47,6 +49,8 @@
   /** Confidence that is sent in the head of a stream; null for none. */
   confidence: number | null;
   behaviour: Behaviour;
+  /** Number of requests whose connection is open and whose answer has not ended. */
+  readonly countOpen: () => number;
   /** Answers the requests that hang, in the same turn of the event loop. */
   readonly answerHeld: (behaviour: Behaviour) => void;
   readonly close: () => Promise<void>;
@@ -60,6 +64,15 @@
 export const renderStream = (events: number): string =>
   Array.from({ length: events }, (_, index) => makeEvent(index + 1)).join('');
 
+const ENDLESS_CHUNK = `8000\r\n${'x'.repeat(0x8000)}\r\n`;
+
+/** Writes a chunk again and again until the peer closes the connection. */
+const writeEndlessly = (socket: net.Socket, chunk: string): void => {
+  if (!socket.destroyed) {
+    socket.write(chunk, () => setImmediate(() => writeEndlessly(socket, chunk)));
+  }
+};
+
 type Responder = (
   upstream: RoutedUpstream,
   received: ReceivedRequest,
@@ -162,6 +175,19 @@
       ].join('\r\n'),
     );
   },
+  endless: ({ behaviour, id }, received, { socket }) => {
+    const part = behaviour.kind === 'endless' ? behaviour.part : 'body';
+    const stamps = `${H.requestId}: ${received.id}\r\n${H.stamp}: of-${id}`;
+    const heads = {
+      head: `HTTP/1.1 200 OK\r\n${stamps}\r\n`,
+      body: `HTTP/1.1 200 OK\r\n${stamps}\r\ntransfer-encoding: chunked\r\n\r\n`,
+      refusal: `HTTP/1.1 503 Full\r\n${H.notRun}: 1\r\ntransfer-encoding: chunked\r\n\r\n`,
+    };
+    if (socket !== null) {
+      socket.write(heads[part]);
+      writeEndlessly(socket, part === 'head' ? `x-more: ${'x'.repeat(1_000)}\r\n` : ENDLESS_CHUNK);
+    }
+  },
   unsigned: (_, received, response) => {
     response.setHeader(H.requestId, received.id);
     response.end('unsigned');
@@ -181,6 +207,7 @@
   const received: ReceivedRequest[] = [];
   const arrived: string[] = [];
   const cancelled: string[] = [];
+  let openCount = 0;
   let held: (() => void)[] = [];
   const state: { confidence: number | null; behaviour: Behaviour } = {
     confidence: null,
@@ -188,6 +215,10 @@
   };
   const server = http.createServer((request, response) => {
     arrived.push(String(request.headers[H.requestId]));
+    openCount += 1;
+    response.once('close', () => {
+      openCount -= 1;
+    });
     const serve = async (upstream: RoutedUpstream): Promise<void> => {
       const body = await readText(request);
       const receivedRequest: ReceivedRequest = {
@@ -222,6 +253,7 @@
     received,
     arrived,
     cancelled,
+    countOpen: () => openCount,
     answerHeld: (behaviour: Behaviour) => {
       state.behaviour = behaviour;
       const answers = held;
--- a/packages/router/__tests__/answerReader.spec.ts
+++ b/packages/router/__tests__/answerReader.spec.ts
@@ -51,3 +51,13 @@
     { seed: 20_261_204, numRuns: 300 },
   );
 });
+
+test('bytes without end that complete no event are garbage, so that they do not fill memory', (t) => {
+  const reader = answerReader.makeAnswerReader();
+  const bytes = Buffer.alloc(65_536, 'x');
+  let chunks = 0;
+  while (chunks < 64 && !reader.read(bytes).isGarbage) {
+    chunks += 1;
+  }
+  t.true(chunks < 64);
+});
--- a/packages/router/src/routed/routedAttempt.ts
+++ b/packages/router/src/routed/routedAttempt.ts
@@ -65,6 +65,9 @@
 /** Largest answer that is buffered until it is complete, in bytes. */
 const MAX_BUFFERED_BYTES = 16_777_216;
 
+/** Bytes of a failed answer that are read so that its connection can be used again. */
+const MAX_DISCARDED_BYTES = 65_536;
+
 const isSuccess = (status: number): boolean =>
   status >= FIRST_SUCCESS_STATUS && status < FIRST_REDIRECT_STATUS;
 
@@ -104,6 +107,7 @@
   let head: { status: number; headers: platform.callHeaders.ParsedHeaders } | null = null;
   let buffered: Buffer[] = [];
   let bufferedBytes = 0;
+  let discardedBytes = 0;
   let eventCount = 0;
   let firstEventAtMs = 0;
   let lastEventAtMs = 0;
@@ -256,6 +260,11 @@
       if (bufferedBytes > MAX_BUFFERED_BYTES) {
         abortAndFail('garbage', `the answer exceeds ${MAX_BUFFERED_BYTES} bytes`);
       }
+    } else {
+      discardedBytes += bytes.length;
+      if (discardedBytes > MAX_DISCARDED_BYTES) {
+        abort(`the rest of a failed answer exceeds ${MAX_DISCARDED_BYTES} bytes`);
+      }
     }
   };
   const handleEnd = (): void => {
--- a/packages/router/src/upstreams/answerReader.ts
+++ b/packages/router/src/upstreams/answerReader.ts
@@ -13,6 +13,9 @@
 /** End mark of a streamed answer. */
 const END_MARK = '[DONE]';
 
+/** Largest event, in characters; bounds the memory that a faulty upstream can make the router use. */
+const MAX_EVENT_LENGTH = 1_048_576;
+
 const isChunk = (data: string): boolean => {
   try {
     const value: unknown = JSON.parse(data);
@@ -38,8 +41,10 @@
   let events: string[] = [];
   let hasEnded = false;
   let isGarbage = false;
+  let incompleteLength = 0;
   const parser = eventsourceParser.createParser({
     onEvent: (event) => {
+      incompleteLength = 0;
       if (hasEnded || event.data === END_MARK) {
         hasEnded = true;
         return;
@@ -54,7 +59,10 @@
   return {
     read: (bytes) => {
       events = [];
-      parser.feed(decoder.decode(bytes, { stream: true }));
+      const text = decoder.decode(bytes, { stream: true });
+      incompleteLength += text.length;
+      parser.feed(text);
+      isGarbage = isGarbage || incompleteLength > MAX_EVENT_LENGTH;
       return { events, hasEnded, isGarbage };
     },
   };
--- a/packages/router/src/upstreams/callAttempt.ts
+++ b/packages/router/src/upstreams/callAttempt.ts
@@ -20,6 +20,23 @@
 const BUSY_STATUS = 503;
 const FIRST_FAILURE_STATUS = 500;
 
+/** Largest answer of a plain service, in bytes. */
+const MAX_ANSWER_BYTES = 16_777_216;
+
+/** Reads a body as text; resolves to null if it exceeds MAX_ANSWER_BYTES. */
+const readText = async (body: AsyncIterable<Uint8Array>): Promise<string | null> => {
+  const chunks: Uint8Array[] = [];
+  let bytes = 0;
+  for await (const chunk of body) {
+    chunks.push(chunk);
+    bytes += chunk.length;
+    if (bytes > MAX_ANSWER_BYTES) {
+      return null;
+    }
+  }
+  return Buffer.concat(chunks).toString('utf8');
+};
+
 const classifyStatus = (status: number): attemptFailure.AttemptFailure => ({
   failure: status === BUSY_STATUS ? 'busy' : 'failed',
   isUnsent: false,
@@ -53,8 +70,10 @@
         body: attempt.body,
         signal: controller.signal,
       });
-      const body = await response.body.text();
-      if (response.statusCode >= FIRST_FAILURE_STATUS) {
+      const body = await readText(response.body);
+      if (body === null) {
+        fail({ failure: 'garbage', isUnsent: false });
+      } else if (response.statusCode >= FIRST_FAILURE_STATUS) {
         fail(classifyStatus(response.statusCode));
       } else if (!isOver) {
         isOver = true;
