fix(router): pipelined requests are not taken for those of callers that left

A pipelined request's response has no socket until the answer before it has ended, and "a request whose caller left while it was unread" read the connection from the response: it dropped every request of a pipeline but the first. The request's own socket is used instead.

Test: routed.spec.ts, "pipelined requests of one connection are all answered, in their order".

--- a/packages-private/measure/__tests__/routed.spec.ts
+++ b/packages-private/measure/__tests__/routed.spec.ts
@@ -242,6 +242,26 @@
   await site.close();
 });
 
+test('pipelined requests of one connection are all answered, in their order', async (t) => {
+  const site = await routedSite.startRoutedSite('127.0.20.30');
+  const socket = net.connect(shared.settings.parseAddress(site.callers));
+  const ids = ['q1', 'q2', 'q3'];
+  const head = `host: ${routedSite.HOST}\r\n${H.key}: ${routedSite.KEY}\r\n`;
+  socket.write(
+    ids.map((id) => `GET /read/ HTTP/1.1\r\n${head}${H.requestId}: ${id}\r\n\r\n`).join(''),
+  );
+  let text = '';
+  socket.on('data', (bytes) => {
+    text += bytes.toString('latin1');
+  });
+  const listAnswered = (): readonly string[] =>
+    Array.from(text.matchAll(new RegExp(`${H.requestId}: (q\\d)`, 'g')), ([, id]) => id ?? '');
+  await standIns.control.waitUntil(() => listAnswered().length === ids.length);
+  t.deepEqual(listAnswered(), ids);
+  socket.destroy();
+  await site.close();
+});
+
 test('a request without an answer at the timeout of its route gets 504', async (t) => {
   const site = await routedSite.startRoutedSite('127.0.20.10', 1);
   setBehaviour(site, { kind: 'hang' });
--- a/packages/router/src/callers/callerConnections.ts
+++ b/packages/router/src/callers/callerConnections.ts
@@ -55,10 +55,11 @@
     socket.once('close', close);
     connections.set(socket, connection);
   };
-  const isClosed = ({ destroyed, socket }: http.ServerResponse): boolean =>
-    destroyed || socket === null || connections.get(socket)?.isClosed === true;
+  // A pipelined request's response has no socket of its own yet, its request has.
+  const isClosed = ({ destroyed, req }: http.ServerResponse): boolean =>
+    destroyed || req.socket.destroyed || connections.get(req.socket)?.isClosed === true;
   const watchClose = (response: http.ServerResponse, handleGone: () => void): void => {
-    const handlers = response.socket === null ? null : connections.get(response.socket)?.handlers;
+    const handlers = connections.get(response.req.socket)?.handlers;
     const closeOnce = (): void => {
       if (handlers?.delete(closeOnce) !== false && !response.writableFinished) {
         handleGone();
