--- a/packages/router/src/callers/callerConnections.ts
+++ b/packages/router/src/callers/callerConnections.ts
@@ -60,6 +60,7 @@
     destroyed || req.socket.destroyed || connections.get(req.socket)?.isClosed === true;
   const watchClose = (response: http.ServerResponse, handleGone: () => void): void => {
     const handlers = connections.get(response.req.socket)?.handlers;
+    // The end of the input and the response's `close` may both come; the first one counts.
     const closeOnce = (): void => {
       if (handlers?.delete(closeOnce) !== false && !response.writableFinished) {
         handleGone();
