--- a/packages/router/src/routed/startRoutedRouter.ts
+++ b/packages/router/src/routed/startRoutedRouter.ts
@@ -219,6 +219,24 @@
   return [callers, readiness, peers, metrics];
 };
 
+/** Logs a request that the end of the grace period cuts off. */
+const logCutRequest = (
+  log: pino.Logger,
+  request: pendingRoutedRequest.PendingRoutedRequest,
+  stoppedAtMs: number,
+): void =>
+  log.warn(
+    {
+      requestId: request.callerRequestId,
+      readMs: Math.round(request.readAtMs - stoppedAtMs),
+      heldMs: Math.round(performance.now() - request.readAtMs),
+      hasBegun: request.isHeadWritten,
+      attempts: request.attempts.size,
+      sends: request.sends,
+    },
+    'request cut off',
+  );
+
 /**
  * Unregisters the router, waits until the load balancer has removed it, and then until the requests in flight are
  * answered or the grace period ends.
@@ -241,6 +259,7 @@
     // eslint-disable-next-line no-await-in-loop -- each check follows a pause
     await shared.delay.wait(STOP_POLL_MS);
   }
+  pending.forEach((request) => logCutRequest(log, request, startedAtMs));
   log.info({ cut: pending.size }, 'router stopped');
   await Promise.race([closed, shared.delay.wait(STOP_POLL_MS)]);
 };
