fix(router): a stopping router starts no request that it may have to cut off

What callers saw: on Cremona streams ended in the middle of the answer when a router was stopped by plan (LOST: "taken long after SIGTERM and given up").

Cause: a stopping router started whatever callers sent for 3 s, and cut what ran after 95 % of the grace period. Both times counted from the turn of the event loop in which it noticed the signal, and the listener was closed by a timer that may be late too. Requests sent more than 3 s after the signal were taken like all others and cut if their answers were long. Class: a time that counts from when input is read, not from when it arrived (as in GONE).

Change: the time of a stop counts from the earliest moment at which its signal can have arrived. Requests are started for 2.5 s, which covers the two readiness checks after which the load balancer sends none; later ones are refused as not run, with "connection: close" and no retry delay, since another router can take them at once. Whatever a stop cuts was therefore sent earlier, however long the turns of the event loop are.

--- a/packages/router/src/routed/routedRunners.ts
+++ b/packages/router/src/routed/routedRunners.ts
@@ -189,6 +189,19 @@
   routedServer.writeRefusal(pending.response, status, effect.code, effect.retryAfterMs);
 };
 
+/** Refuses a request that a stopping router does not start; another router can take it at once. */
+export const refuseLate = (
+  context: RoutedRunnerContext,
+  pending: pendingRoutedRequest.PendingRoutedRequest,
+): void =>
+  refuse(context, pending, {
+    type: 'refuse',
+    requestId: pending.id,
+    code: 'routerStopping',
+    notRun: true,
+    retryAfterMs: 0,
+  });
+
 /** Creates the runners of routed requests' effects. */
 export const makeRoutedRunners = (context: RoutedRunnerContext): routerRuntime.EffectRunners => {
   const withPending = (
--- a/packages/router/src/routed/routedServer.ts
+++ b/packages/router/src/routed/routedServer.ts
@@ -20,6 +20,10 @@
   readonly refreshTable: () => Promise<boolean>;
   /** Returns whether the router is stopping. */
   readonly isLeaving: () => boolean;
+  /** Returns whether a new request may still be started: it has to be finished before the router has stopped. */
+  readonly mayStart: () => boolean;
+  /** Refuses a request that is no longer started because the router is stopping. */
+  readonly refuseLate: (pending: pendingRoutedRequest.PendingRoutedRequest) => void;
   /** Ends a request whose caller left before the request was dispatched. */
   readonly endAbandoned: (pending: pendingRoutedRequest.PendingRoutedRequest) => void;
 }
@@ -159,7 +163,13 @@
     await Promise.race([context.refreshTable(), shared.delay.wait(REFRESH_WAIT_MS)]);
   }
   context.connections.admit(response, {
-    start: () => dispatchArrival(context, pending),
+    start: () => {
+      if (context.mayStart()) {
+        dispatchArrival(context, pending);
+      } else {
+        context.refuseLate(pending);
+      }
+    },
     abandon: () => context.endAbandoned(pending),
     handleGone: () => {
       if (context.pending.has(pending.id)) {
--- a/packages/router/src/routed/startRoutedRouter.ts
+++ b/packages/router/src/routed/startRoutedRouter.ts
@@ -29,7 +29,9 @@
 const CONFIRMATION_AGE_SHARE = 0.78;
 /** Share of the same bound after which the router reports itself as not ready to the load balancer. */
 const READY_AGE_SHARE = 0.7;
-/** Time within which the load balancer removes a stopping router, in milliseconds. */
+/** Time after the stop signal in which requests are started, in milliseconds: two failed readiness checks. */
+const START_MS = 2_500;
+/** Time after the stop signal after which the listener is closed, in milliseconds. */
 const BALANCER_REMOVAL_MS = 3_000;
 /** Interval at which a stopping router checks for requests in flight, in milliseconds. */
 const STOP_POLL_MS = 25;
@@ -181,10 +183,11 @@
   parts: RoutedRouterParts,
   settings: shared.settings.Settings,
   platform: RoutedPlatform,
-  isLeaving: () => boolean,
+  getStopAgeMs: () => number | null,
 ): Promise<readonly fastify.FastifyInstance[]> => {
   const { runtime, clock, source } = parts;
   const maxReadyAgeMs = platform.bounds.revocationMs * READY_AGE_SHARE;
+  const isLeaving = (): boolean => getStopAgeMs() !== null;
   const isReady = (): boolean =>
     !isLeaving() &&
     runtime.getState().routed.routeIndex !== null &&
@@ -199,6 +202,8 @@
     maxTableAgeMs: platform.bounds.revocationMs * CONFIRMATION_AGE_SHARE,
     refreshTable: source.refresh,
     isLeaving,
+    mayStart: () => (getStopAgeMs() ?? 0) <= START_MS,
+    refuseLate: (pending) => routedRunners.refuseLate(parts, pending),
     limits: {
       maxBodyBytes: settings.limits.maxBodyBytes,
       headersTimeoutMs: settings.limits.headersTimeoutMs,
@@ -244,22 +249,22 @@
 const drainRequests = async (
   { pending, source, log }: RoutedRouterParts,
   callers: fastify.FastifyInstance,
+  stoppedAtMs: number,
   graceMs: number,
 ): Promise<void> => {
-  const startedAtMs = performance.now();
   log.info({ running: pending.size }, 'router stopping');
   pending.forEach(({ response }) => {
     response.shouldKeepAlive = false;
   });
-  const isGraceOver = (): boolean => performance.now() - startedAtMs > graceMs;
+  const isGraceOver = (): boolean => performance.now() - stoppedAtMs > graceMs;
   source.leave().catch((error: unknown) => log.warn({ error }, 'router registration not removed'));
-  await shared.delay.wait(BALANCER_REMOVAL_MS);
+  await shared.delay.wait(BALANCER_REMOVAL_MS - (performance.now() - stoppedAtMs));
   const closed = callers.close();
   while (pending.size > 0 && !isGraceOver()) {
     // eslint-disable-next-line no-await-in-loop -- each check follows a pause
     await shared.delay.wait(STOP_POLL_MS);
   }
-  pending.forEach((request) => logCutRequest(log, request, startedAtMs));
+  pending.forEach((request) => logCutRequest(log, request, stoppedAtMs));
   log.info({ cut: pending.size }, 'router stopped');
   await Promise.race([closed, shared.delay.wait(STOP_POLL_MS)]);
 };
@@ -272,8 +277,10 @@
 ): Promise<RunningRoutedRouter> => {
   const parts = makeParts(settings, platform, baseDir);
   const { runtime, log, source } = parts;
-  let isLeaving = false;
-  const listeners = await openListeners(parts, settings, platform, () => isLeaving);
+  let stoppedAtMs: number | null = null;
+  const listeners = await openListeners(parts, settings, platform, () =>
+    stoppedAtMs === null ? null : performance.now() - stoppedAtMs,
+  );
   const [callers] = listeners;
   await source.start();
   const ticks = setInterval(() => runtime.dispatch({ type: 'ticked' }), TICK_MS);
@@ -302,9 +309,10 @@
   };
   return {
     stop: async () => {
-      isLeaving = true;
+      // The signal may have waited for a long turn of the event loop, like any other input.
+      stoppedAtMs = performance.now() - parts.loop.getInputAgeMs();
       if (callers !== undefined) {
-        await drainRequests(parts, callers, platform.bounds.graceMs * GRACE_SHARE);
+        await drainRequests(parts, callers, stoppedAtMs, platform.bounds.graceMs * GRACE_SHARE);
       }
       await close();
     },
