--- a/packages-private/measure/__tests__/routedSite.ts
+++ b/packages-private/measure/__tests__/routedSite.ts
@@ -72,6 +72,8 @@
   readonly body?: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly key?: string | null;
+  /** Time for which the caller leaves the answer's body unread, in milliseconds. */
+  readonly readAfterMs?: number;
 }
 
 /** A response as a caller received it. */
@@ -129,9 +131,12 @@
           body: Buffer.concat(chunks).toString('utf8'),
           isWhole,
         });
-      response.on('data', (chunk: Buffer) => chunks.push(chunk));
       response.once('end', () => finish(true));
       response.once('error', () => finish(false));
+      setTimeout(
+        () => response.on('data', (chunk: Buffer) => chunks.push(chunk)),
+        call.readAfterMs ?? 0,
+      );
     });
     request.end(call.body);
   });
--- a/packages-private/measure/__tests__/threadCaller.ts
+++ b/packages-private/measure/__tests__/threadCaller.ts
@@ -8,6 +8,10 @@
   readonly connect: (count: number) => Promise<void>;
   /** Sends one request on each open connection, and closes them all after a time in milliseconds. */
   readonly sendAndLeave: (requests: readonly string[], afterMs: number) => void;
+  /** Sends one request on each open connection. */
+  readonly send: (requests: readonly string[]) => void;
+  /** Returns what each connection has received. */
+  readonly takeAnswers: () => Promise<readonly string[]>;
   /** Closes all open connections. */
   readonly leave: () => void;
   readonly close: () => Promise<void>;
@@ -16,6 +20,7 @@
 type Order =
   | { readonly kind: 'connect'; readonly address: string; readonly count: number }
   | { readonly kind: 'send'; readonly requests: readonly string[]; readonly address: string }
+  | { readonly kind: 'report' }
   | { readonly kind: 'leave'; readonly afterMs: number };
 
 const openSocket = (address: string): net.Socket => {
@@ -26,9 +31,14 @@
 
 const serveOrders = (port: workerThreads.MessagePort): void => {
   let sockets: net.Socket[] = [];
+  const answers = new WeakMap<net.Socket, string>();
+  const followSocket = (socket: net.Socket): net.Socket =>
+    socket.on('data', (bytes: Buffer) => {
+      answers.set(socket, (answers.get(socket) ?? '') + bytes.toString('latin1'));
+    });
   port.on('message', (order: Order) => {
     if (order.kind === 'connect') {
-      sockets = Array.from({ length: order.count }, () => openSocket(order.address));
+      sockets = Array.from({ length: order.count }, () => followSocket(openSocket(order.address)));
       Promise.all(
         sockets.map(
           (socket) =>
@@ -41,9 +51,11 @@
         .catch(() => undefined);
     } else if (order.kind === 'send') {
       order.requests.forEach((text, index) => {
-        sockets[index] ??= openSocket(order.address);
+        sockets[index] ??= followSocket(openSocket(order.address));
         sockets[index]?.write(text);
       });
+    } else if (order.kind === 'report') {
+      port.postMessage(sockets.map((socket) => answers.get(socket) ?? ''));
     } else {
       setTimeout(() => {
         sockets.forEach((socket) => socket.end().destroySoon());
@@ -77,6 +89,12 @@
       post({ kind: 'send', requests, address });
       post({ kind: 'leave', afterMs });
     },
+    send: (requests) => post({ kind: 'send', requests, address }),
+    takeAnswers: () =>
+      new Promise((resolve) => {
+        worker.once('message', resolve);
+        post({ kind: 'report' });
+      }),
     leave: () => post({ kind: 'leave', afterMs: 0 }),
     close: async () => {
       await worker.terminate();
--- a/packages-private/stand-ins/src/plainService.ts
+++ b/packages-private/stand-ins/src/plainService.ts
@@ -6,6 +6,8 @@
   readonly id: string;
   /** Number of runs, by request id. */
   readonly runCounts: ReadonlyMap<string, number>;
+  /** Characters that are added to each answer. */
+  padding: string;
 }
 
 interface PlainOptions {
@@ -21,6 +23,7 @@
 export const startPlainService = async (options: PlainOptions): Promise<PlainService> => {
   const faults = control.makeFaults();
   const runCounts = options.runCounts ?? new Map<string, number>();
+  const state = { padding: '' };
   const server = fastify.fastify({ forceCloseConnections: true });
   control.addBlockHook(server, faults);
   server.get('/load', async () => ({ running: 0, waiting: 0, slots: 64, loaded: [] }));
@@ -35,10 +38,11 @@
       request.raw.socket.destroy();
       return reply;
     }
-    return reply.send({ served: request.url, by: options.id, run: runCounts.get(id) });
+    const { padding } = state;
+    return reply.send({ served: request.url, by: options.id, run: runCounts.get(id), padding });
   });
   const address = await control.listenOn(server, options.port ?? 0);
-  return {
+  return Object.assign(state, {
     id: options.id,
     address,
     faults,
@@ -47,5 +51,5 @@
       server.server.closeAllConnections();
       await server.close();
     },
-  };
+  });
 };
