fix(router): requests that wait when a stop's time is over are answered

Callers of a stopping router saw their connections end without any answer when the grace period was nearly over.

Cause: at 0.95 of it the router destroyed all connections, also those of requests that waited in its queue, for a retry or for their upstream's answer.

At that time the reducer now ends every request: as not run (503, to be sent elsewhere at once) if no upstream can have run it, else with 504. Queued requests leave the queue before attempts are cancelled, so that a slot that becomes free starts none of them, and later arrivals are refused. The router then waits until the answers are written, to 0.975 of the grace period at most. Answers that have begun can only be cut, as before.

--- a/packages-private/measure/__tests__/lostAnswers.spec.ts
+++ b/packages-private/measure/__tests__/lostAnswers.spec.ts
@@ -182,7 +182,7 @@
   },
 );
 
-test.serial.failing(
+test.serial(
   'requests that wait for their upstreams when the grace period ends get a complete answer',
   async (t) => {
     const site = await startSite(t, '127.0.47.5');
--- a/packages/core/__tests__/routed.spec.ts
+++ b/packages/core/__tests__/routed.spec.ts
@@ -380,3 +380,27 @@
   t.deepEqual(listStarts(late), []);
   t.is(findRefusal(late), 'overloaded');
 });
+
+test('at the end of a stop all requests are refused, as not run only if no upstream can have run them, and none starts', (t) => {
+  const driver = routedFixtures.makeRoutedDriver(['u1']);
+  const paths = ['/read/', '/issue/', '/talk/'];
+  // The upstream has four slots; the requests beyond them wait in the queue.
+  const ids = Array.from({ length: 9 }, (_, index) => `r${index}`);
+  ids.forEach((id, index) =>
+    routedFixtures.sendCall(driver, id, { path: paths[index % paths.length] ?? '' }),
+  );
+  const queued = ids.filter((id) => driver.getState().requests.get(id)?.phase === 'queued');
+  t.is(queued.length, 5);
+  const effects = driver.send({ type: 'stopExpired' });
+  t.deepEqual(listStarts(effects), []);
+  const refusals = fixtures.pickEffects(effects, 'refuse');
+  t.deepEqual(refusals.map(({ requestId }) => requestId).sort(), ids);
+  refusals.forEach(({ requestId, code, notRun }) => {
+    t.is(code, queued.includes(requestId) ? 'routerStopping' : 'deadlineExceeded', requestId);
+    t.is(notRun, queued.includes(requestId), requestId);
+  });
+  t.is(fixtures.pickEffects(effects, 'cancelAttempt').length, 4);
+  t.is(driver.getState().requests.size, 0);
+  t.is(driver.getState().services.get('desk')?.queue.size, 0);
+  t.is(findRefusal(routedFixtures.sendCall(driver, 'late')), 'routerStopping');
+});
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -173,6 +173,8 @@
   readonly canaryReportReceived: canaryState.CanaryReport;
   readonly ticked: Readonly<Record<never, never>>;
   readonly stopRequested: Readonly<Record<never, never>>;
+  /** The time for which a stop may wait is over. */
+  readonly stopExpired: Readonly<Record<never, never>>;
 }
 
 /** Gossip that two routers exchange in a probe and its answer. */
--- a/packages/core/src/reduce.ts
+++ b/packages/core/src/reduce.ts
@@ -11,6 +11,7 @@
 import * as routedAnswers from './routed/routedAnswers.js';
 import * as routedArrival from './routed/routedArrival.js';
 import * as routedCrashes from './routed/routedCrashes.js';
+import * as routedExpiry from './routed/routedExpiry.js';
 import * as routedFeeds from './routed/routedFeeds.js';
 import * as canaryHandlers from './routed/canaryHandlers.js';
 import * as reroute from './reroute.js';
@@ -39,6 +40,7 @@
   ...routedAnswers.HANDLERS,
   ...routedArrival.HANDLERS,
   ...routedCrashes.HANDLERS,
+  ...routedExpiry.HANDLERS,
   ...routedFeeds.HANDLERS,
   ...canaryHandlers.HANDLERS,
   ...rollouts.HANDLERS,
--- a/packages/core/src/routed/routedArrival.ts
+++ b/packages/core/src/routed/routedArrival.ts
@@ -134,6 +134,9 @@
   current: routerState.RouterState,
   arrival: Arrival,
 ): transition.Transition => {
+  if (current.isStopping) {
+    return routedRefusal.refuseCall(current, arrival, 'routerStopping');
+  }
   const lookup = resolveCaller(current, arrival);
   if (!lookup.ok) {
     return routedRefusal.refuseCall(current, arrival, lookup.error);
--- a/packages/core/src/routed/routedExpiry.ts
+++ b/packages/core/src/routed/routedExpiry.ts
@@ -1,5 +1,7 @@
 import * as dispatch from '../dispatch.js';
 import type * as events from '../events.js';
+import * as refusal from '../refusal.js';
+import type * as requestState from '../requestState.js';
 import type * as routerState from '../routerState.js';
 import * as slots from '../slots.js';
 import * as transition from '../transition.js';
@@ -26,3 +28,40 @@
     ),
   );
 };
+
+/** Ends a request of a stopping router; another router can serve it at once if nothing can have been executed. */
+const endStopped = (
+  current: routerState.RouterState,
+  request: requestState.RequestState,
+): transition.Transition =>
+  routedRefusal.countPossibleExecutions(request) === 0
+    ? refusal.refuseRequest(current, request, 'routerStopping', 0)
+    : refusal.refuseRequest(current, request, 'deadlineExceeded', null);
+
+/** Ends all requests. All leave the queue before attempts are cancelled, so that free slots start none of them. */
+const handleStopExpired = (
+  current: routerState.RouterState,
+  event: events.EventOf<'stopExpired'>,
+): transition.Transition => {
+  const open = current.requests
+    .valueSeq()
+    .toArray()
+    .filter(({ routed }) => routed !== null);
+  const dequeued = open.reduce(
+    (next, request) => dispatch.removeFromQueue(next, request, event.nowMs),
+    { ...current, isStopping: true },
+  );
+  return open.reduce(
+    (result, request) =>
+      transition.composeTransition(result, (next) =>
+        transition.composeTransition(
+          slots.cancelAttempts(next, request.id, request.attempts, event),
+          (freed) => endStopped(freed, request),
+        ),
+      ),
+    transition.makeTransition(dequeued),
+  );
+};
+
+/** Handlers of the end of a stop. */
+export const HANDLERS = { stopExpired: handleStopExpired } as const;
--- a/packages/router/src/callers/callerConnections.ts
+++ b/packages/router/src/callers/callerConnections.ts
@@ -15,10 +15,14 @@
   /** Lets each connection end with the answer that it waits for, or with its next one. */
   readonly release: () => void;
   /**
-   * Closes the listener, and each connection once nothing that was read on it is unanswered. Resolves when that holds
-   * for all of them and the answers are written, or when `isOver` does. Run `release` before.
+   * Closes the listener, and each connection once nothing that was read on it is unanswered. Run `release` before.
    */
-  readonly drain: (server: http.Server, isOver: () => boolean) => Promise<void>;
+  readonly drain: (server: http.Server) => void;
+  /**
+   * Resolves when all that was read is answered and the answers are written, or when `isOver` does; in the same turn
+   * of the event loop no further input has been read.
+   */
+  readonly waitAnswered: (isOver: () => boolean) => Promise<void>;
   /** Returns whether the listener was closed by `drain`. */
   readonly isDraining: () => boolean;
 }
@@ -156,9 +160,11 @@
         }),
       );
     },
-    drain: async (server, isOver) => {
+    drain: (server) => {
       isDraining = true;
       server.close();
+    },
+    waitAnswered: async (isOver) => {
       do {
         // eslint-disable-next-line no-await-in-loop -- each check follows a pause
         await shared.delay.wait(DRAIN_POLL_MS);
--- a/packages/router/src/routed/startRoutedRouter.ts
+++ b/packages/router/src/routed/startRoutedRouter.ts
@@ -31,8 +31,10 @@
 const READY_AGE_SHARE = 0.7;
 /** Time within which the load balancer removes a stopping router, in milliseconds. */
 const BALANCER_REMOVAL_MS = 3_000;
-/** Share of the grace period after which requests in flight are cut off. */
-const GRACE_SHARE = 0.95;
+/** Share of the grace period after which all requests in flight are refused. */
+const ANSWER_SHARE = 0.95;
+/** Share of the grace period after which answers that are not yet written are cut off. */
+const WRITE_SHARE = 0.975;
 
 /** A running router that serves a route table. */
 export interface RunningRoutedRouter {
@@ -221,20 +223,25 @@
 
 /**
  * Unregisters the router, waits until the load balancer has removed it, and then until the requests that were read are
- * answered or the grace period ends.
+ * answered. Those that are still waiting near the end of the grace period are refused.
  */
 const drainRequests = async (
-  { pending, source, log, connections }: RoutedRouterParts,
+  { runtime, pending, source, log, connections }: RoutedRouterParts,
   callers: fastify.FastifyInstance,
   graceMs: number,
 ): Promise<void> => {
   const startedAtMs = performance.now();
+  const isAfter = (share: number) => (): boolean =>
+    performance.now() - startedAtMs > graceMs * share;
   log.info({ running: pending.size }, 'router stopping');
   connections.release();
   source.leave().catch((error: unknown) => log.warn({ error }, 'router registration not removed'));
   await shared.delay.wait(BALANCER_REMOVAL_MS);
-  await connections.drain(callers.server, () => performance.now() - startedAtMs > graceMs);
-  log.info({ cut: pending.size }, 'router stopped');
+  connections.drain(callers.server);
+  await connections.waitAnswered(isAfter(ANSWER_SHARE));
+  log.info({ refused: pending.size }, 'router stopped');
+  runtime.dispatch({ type: 'stopExpired' });
+  await connections.waitAnswered(isAfter(WRITE_SHARE));
 };
 
 /** Starts a router that serves a route table; table and upstreams come from a store or from files. */
@@ -277,7 +284,7 @@
     stop: async () => {
       isLeaving = true;
       if (callers !== undefined) {
-        await drainRequests(parts, callers, platform.bounds.graceMs * GRACE_SHARE);
+        await drainRequests(parts, callers, platform.bounds.graceMs);
       }
       await close();
     },
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -224,10 +224,8 @@
     runtime.dispatch({ type: 'stopRequested' });
     await waitUntil(() => pending.size === 0);
     const answeredAtMs = performance.now();
-    await connections.drain(
-      callers.server,
-      () => performance.now() - answeredAtMs > READ_TIMEOUT_MS,
-    );
+    connections.drain(callers.server);
+    await connections.waitAnswered(() => performance.now() - answeredAtMs > READ_TIMEOUT_MS);
     callers.server.closeAllConnections();
     await callers.close();
     await services.sessions.handOver();
