fix(router): a second stop signal does not end the process

A process that got SIGTERM or SIGINT again while it was stopping ended at once, and callers lost the requests in flight.

Cause: the listeners of the signals were registered for one signal each; without a listener a signal has its default effect. They stay registered now, and a stop that is under way is not started again.

Before: lostAnswers.spec.ts, a request in flight gets no answer after the second SIGTERM.

--- a/packages-private/measure/__tests__/lostAnswers.spec.ts
+++ b/packages-private/measure/__tests__/lostAnswers.spec.ts
@@ -389,7 +389,7 @@
   },
 );
 
-test.serial.failing('a second stop signal does not cut the requests in flight', async (t) => {
+test.serial('a second stop signal does not cut the requests in flight', async (t) => {
   const upstream = await standIns.routedUpstream.startRoutedUpstream('u-0');
   t.teardown(upstream.close);
   const dir = fs.mkdtempSync(path.join(os.tmpdir(), 'jayrock-routes-'));
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -70,18 +70,24 @@
   baseDir: string,
 ): Promise<void> => {
   let running: RunningRouter | null = null;
+  let isStopping = false;
   const stop = (): void => {
     if (running === null) {
       process.exit(0);
     }
+    if (isStopping) {
+      return;
+    }
+    isStopping = true;
     running.stop().then(
       () => process.exit(0),
       () => process.exit(1),
     );
   };
-  // Registered before the start, since a signal may arrive while the router is starting.
-  process.once('SIGTERM', stop);
-  process.once('SIGINT', stop);
+  // Registered before the start, since a signal may arrive while the router is starting, and for good, since a signal
+  // without a listener ends the process at once.
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
   process.on('SIGHUP', () => replaceSettings(running, file));
   fs.watchFile(file, { interval: SETTINGS_POLL_MS, persistent: false }, () =>
     replaceSettings(running, file),
