test(router): requests on kept connections, and answers that are cut although their upstreams work

Measured at: a stream whose upstream pauses for 900 ms (gap target 300 ms) ends after its third send at event 6 of 12; it ends at the first pause if the other upstream is full; a stream whose upstream closed its listener is moved and cut; a caller that reads nothing for 2 s costs two more sends; a probe in a blocked turn fails; a 400 that answers the rest of a stream is written behind its first events, and the answer ends as if it were whole.

--- a/packages-private/measure/__tests__/routedSite.ts
+++ b/packages-private/measure/__tests__/routedSite.ts
@@ -12,7 +12,8 @@
 /** Key of the fixtures' only organisation. */
 export const KEY = 'key-of-ada';
 
-const makeRoute = (name: string, kind: string, change: object = {}): object => ({
+/** Makes a route of the operator's configuration. */
+export const makeRoute = (name: string, kind: string, change: object = {}): object => ({
   name,
   host: HOST,
   prefix: `/${name}/`,
@@ -92,6 +93,8 @@
   readonly running: router.startRoutedRouter.RunningRoutedRouter;
   /** Writes the entry of an upstream to the store. */
   readonly registerUpstream: (index: number, change?: object) => void;
+  /** Applies the router's settings again. */
+  readonly reload: () => void;
   readonly call: (call: Call) => Promise<CallResponse>;
   /** Sends a request and closes its connection once an upstream has received it. */
   readonly sendAndDisconnect: (call: Call) => Promise<void>;
@@ -189,6 +192,7 @@
     ready: settings.platform.readyAddress,
     running,
     registerUpstream,
+    reload: () => running.reload(settings),
     call: (call) => sendCall(settings.callers, call, agent),
     sendAndDisconnect: async (call) => {
       const request = openRequest(settings.callers, call, new http.Agent());
--- a/packages-private/stand-ins/src/routedUpstream.ts
+++ b/packages-private/stand-ins/src/routedUpstream.ts
@@ -1,5 +1,5 @@
 import * as http from 'node:http';
-import type * as net from 'node:net';
+import * as net from 'node:net';
 import * as platform from '@jayrock/platform';
 import * as control from './control.js';
 
@@ -17,7 +17,17 @@
 /** How a stand-in of an upstream answers requests. */
 export type Behaviour =
   | { readonly kind: 'answer'; readonly status: number; readonly body: string }
-  | { readonly kind: 'stream'; readonly events: number; readonly cutAfter?: number }
+  | {
+      readonly kind: 'stream';
+      readonly events: number;
+      readonly cutAfter?: number;
+      /** Time for which the stream pauses after each second event, in milliseconds. */
+      readonly pauseMs?: number;
+      /** True if the stream has no framing and ends with its connection. */
+      readonly isUnframed?: boolean;
+      /** Bytes that are added to each event. */
+      readonly extraBytes?: number;
+    }
   /** A refusal that is marked as not run. */
   | { readonly kind: 'turnAway'; readonly status: number }
   | { readonly kind: 'reset' }
@@ -53,12 +63,17 @@
   readonly countOpen: () => number;
   /** Answers the requests that hang, in the same turn of the event loop. */
   readonly answerHeld: (behaviour: Behaviour) => void;
+  /** Accepts no new connections; those that are open stay. */
+  readonly refuseConnections: () => void;
   readonly close: () => Promise<void>;
 }
 
 const EVENT_INTERVAL_MS = 5;
+/** Number of events between two pauses of a stream. */
+const PAUSE_EVENTS = 2;
 
-const makeEvent = (id: number): string => `id: ${id}\ndata: piece ${id}\n\n`;
+const makeEvent = (id: number, extraBytes = 0): string =>
+  `id: ${id}\ndata: piece ${id}${' '.repeat(extraBytes)}\n\n`;
 
 /** Renders a complete stream of events. */
 export const renderStream = (events: number): string =>
@@ -98,9 +113,18 @@
   if (upstream.confidence !== null) {
     response.setHeader(H.confidence, String(upstream.confidence));
   }
-  const { cutAfter } = behaviour;
+  const { cutAfter, pauseMs = 0, isUnframed = false, extraBytes = 0 } = behaviour;
+  if (isUnframed) {
+    // Without framing the end of the connection is the end of the answer.
+    response.useChunkedEncodingByDefault = false;
+    response.setHeader('connection', 'close');
+  }
   let next = Number(received.headers[H.lastEventId] ?? 0) + 1;
+  let pausedUntilMs = 0;
   const timer = setInterval(() => {
+    if (performance.now() < pausedUntilMs && !response.destroyed) {
+      return;
+    }
     if (response.destroyed || next > behaviour.events) {
       clearInterval(timer);
       response.end();
@@ -109,7 +133,8 @@
       response.write(makeEvent(next).slice(0, 5));
       response.socket?.resetAndDestroy();
     } else {
-      response.write(makeEvent(next));
+      response.write(makeEvent(next, extraBytes));
+      pausedUntilMs = next % PAUSE_EVENTS === 0 ? performance.now() + pauseMs : 0;
       next += 1;
     }
   }, EVENT_INTERVAL_MS);
@@ -260,6 +285,9 @@
       held = [];
       answers.forEach((answer) => answer());
     },
+    refuseConnections: () => {
+      net.Server.prototype.close.call(server);
+    },
     close: async () => {
       server.closeAllConnections();
       server.close();
