fix(core): the rest of an answer that has begun waits for capacity until its deadline

What callers saw: a stream whose upstream broke off, or which was moved, ended at once if no other upstream had capacity at that moment. Cause: the request was queued again under the bound of its arrival, half of the target latency, which had passed when the answer had begun. Its timer fired in the same turn, and the request was refused after its head had been written. Change: from the head on, the request may be queued until its deadline. Before and after (routed.spec.ts): refused as deadlineExceeded in the same turn; started when a slot becomes free.

--- a/packages/core/__tests__/routed.spec.ts
+++ b/packages/core/__tests__/routed.spec.ts
@@ -407,3 +407,26 @@
   t.is(driver.getState().requests.get('a')?.attempts[0]?.id, attemptId);
   t.is(driver.getState().upstreams.get('u1')?.consecutiveFailures, 1);
 });
+
+test('the rest of an answer that has begun waits for capacity until its deadline', (t) => {
+  const driver = routedFixtures.makeRoutedDriver(['u1', 'u2']);
+  const attemptId = startStream(driver);
+  const [first] = driver.getState().requests.get('a')?.attempts ?? [];
+  const other = first?.upstreamId === 'u1' ? 'u2' : 'u1';
+  const full = { slots: 1 };
+  driver.send({ type: 'hostChanged', host: routedFixtures.makeHost('u1', full) });
+  driver.send({ type: 'hostChanged', host: routedFixtures.makeHost('u2', full) });
+  const busy = routedFixtures.sendCall(driver, 'b', { path: '/talk/' });
+  t.deepEqual(listStarts(busy), [other]);
+  const startedAtMs = driver.getState().requests.get('a')?.arrivedAtMs ?? 0;
+  const lateMs = startedAtMs + 5_000;
+  driver.send({ type: 'hostRemoved', hostId: first?.upstreamId ?? '' }, lateMs);
+  const queued = driver.send(routedFixtures.makeFailure('a', attemptId), lateMs);
+  t.is(findRefusal(queued), undefined);
+  const timer = { kind: 'queueDeadline', requestId: 'a' } as const;
+  t.is(findRefusal(driver.send({ type: 'timerFired', timer }, lateMs)), undefined);
+  const [second] = driver.getState().requests.get('b')?.attempts ?? [];
+  const ended = { type: 'routedAttemptEnded', requestId: 'b', events: 1, streamMs: 1 } as const;
+  const freed = driver.send({ ...ended, attemptId: second?.id ?? -1 }, lateMs + 100);
+  t.deepEqual(listStarts(freed), [other]);
+});
--- a/packages/core/src/routed/routedAnswers.ts
+++ b/packages/core/src/routed/routedAnswers.ts
@@ -123,7 +123,8 @@
     routerState.setRequest(current, {
       ...request,
       forwardedAttempt: target.attempt.id,
-      routed: { ...target.routed, version },
+      // The rest of an answer that has begun may wait for capacity until the deadline.
+      routed: { ...target.routed, version, queueUntilMs: request.deadlineAtMs },
     }),
     { type: 'forwardAnswer', requestId: request.id, attemptId: target.attempt.id },
   );
