--- a/packages/core/__tests__/routed.spec.ts
+++ b/packages/core/__tests__/routed.spec.ts
@@ -404,3 +404,53 @@
   t.is(driver.getState().services.get('desk')?.queue.size, 0);
   t.is(findRefusal(routedFixtures.sendCall(driver, 'late')), 'routerStopping');
 });
+
+/** Starts a stream and forwards its head; returns the id of its attempt. */
+const startStream = (driver: fixtures.Driver): number => {
+  routedFixtures.sendCall(driver, 'a', { path: '/talk/' });
+  const [attempt] = driver.getState().requests.get('a')?.attempts ?? [];
+  const attemptId = attempt?.id ?? -1;
+  const head = { status: 200, confidence: null };
+  const effects = driver.send({ type: 'routedHeadArrived', requestId: 'a', attemptId, head });
+  return fixtures.pickEffects(effects, 'forwardAnswer')[0]?.attemptId ?? -1;
+};
+
+test('an answer that pauses is continued on another upstream', (t) => {
+  const driver = routedFixtures.makeRoutedDriver(['u1', 'u2']);
+  const attemptId = startStream(driver);
+  const effects = driver.send({ type: 'routedAttemptSilent', requestId: 'a', attemptId });
+  t.is(fixtures.pickEffects(effects, 'cancelAttempt').length, 1);
+  t.is(listStarts(effects).length, 1);
+});
+
+test('an answer that pauses keeps its upstream if no other one can continue it', (t) => {
+  const driver = routedFixtures.makeRoutedDriver(['u1']);
+  const attemptId = startStream(driver);
+  const effects = driver.send({ type: 'routedAttemptSilent', requestId: 'a', attemptId });
+  t.deepEqual(effects, []);
+  t.is(driver.getState().requests.get('a')?.attempts[0]?.id, attemptId);
+  t.is(driver.getState().upstreams.get('u1')?.consecutiveFailures, 1);
+});
+
+test('the rest of an answer that has begun waits for capacity until its deadline', (t) => {
+  const driver = routedFixtures.makeRoutedDriver(['u1', 'u2']);
+  const attemptId = startStream(driver);
+  const [first] = driver.getState().requests.get('a')?.attempts ?? [];
+  const other = first?.upstreamId === 'u1' ? 'u2' : 'u1';
+  const full = { slots: 1 };
+  driver.send({ type: 'hostChanged', host: routedFixtures.makeHost('u1', full) });
+  driver.send({ type: 'hostChanged', host: routedFixtures.makeHost('u2', full) });
+  const busy = routedFixtures.sendCall(driver, 'b', { path: '/talk/' });
+  t.deepEqual(listStarts(busy), [other]);
+  const startedAtMs = driver.getState().requests.get('a')?.arrivedAtMs ?? 0;
+  const lateMs = startedAtMs + 5_000;
+  driver.send({ type: 'hostRemoved', hostId: first?.upstreamId ?? '' }, lateMs);
+  const queued = driver.send(routedFixtures.makeFailure('a', attemptId), lateMs);
+  t.is(findRefusal(queued), undefined);
+  const timer = { kind: 'queueDeadline', requestId: 'a' } as const;
+  t.is(findRefusal(driver.send({ type: 'timerFired', timer }, lateMs)), undefined);
+  const [second] = driver.getState().requests.get('b')?.attempts ?? [];
+  const ended = { type: 'routedAttemptEnded', requestId: 'b', events: 1, streamMs: 1 } as const;
+  const freed = driver.send({ ...ended, attemptId: second?.id ?? -1 }, lateMs + 100);
+  t.deepEqual(listStarts(freed), [other]);
+});
