test(measure): a part of a prompt that crashes upstreams, several routers before them

A part of a prompt can crash each upstream that begins to write an answer on it, whatever else the request holds. Nothing guards against that: evidence of crashes counts for the fingerprint of a whole request, and no two of these requests are alike.

crashingPool starts upstreams that crash on a part other than the last: the head and half an event are written, the port refuses, all connections end by a close or a reset, also those of sound requests beside it, and the upstream is back under another id and address. crashingPart.spec.ts plays such requests of two callers, with different other parts, at three routers of one store, and a fourth that starts after the decisive crash. It counts those that reach upstreams later than 3 s after the fifth crash (at most 3), and compares the share of sound requests that begin, by key and by first part, with the share before the first crash (at least half).

startSiteRouter is split off startRoutedSite, so that routers share a store.

--- a/packages-private/measure/__tests__/routedSite.ts
+++ b/packages-private/measure/__tests__/routedSite.ts
@@ -83,13 +83,17 @@
   readonly isWhole: boolean;
 }
 
-/** A router of routes with its store and upstreams on loopback. */
-export interface RoutedSite {
-  readonly store: standIns.platformStore.PlatformStore;
-  readonly upstreams: readonly standIns.routedUpstream.RoutedUpstream[];
+/** A router of routes that runs in this process. */
+export interface SiteRouter {
   readonly callers: string;
   readonly ready: string;
   readonly running: router.startRoutedRouter.RunningRoutedRouter;
+}
+
+/** A router of routes with its store and upstreams on loopback. */
+export interface RoutedSite extends SiteRouter {
+  readonly store: standIns.platformStore.PlatformStore;
+  readonly upstreams: readonly standIns.routedUpstream.RoutedUpstream[];
   /** Writes the entry of an upstream to the store. */
   readonly registerUpstream: (index: number, change?: object) => void;
   readonly call: (call: Call) => Promise<CallResponse>;
@@ -116,7 +120,8 @@
   });
 };
 
-const sendCall = (address: string, call: Call, agent: http.Agent): Promise<CallResponse> =>
+/** Sends a request and reads its answer; rejects if the connection ends before the head of an answer. */
+export const sendCall = (address: string, call: Call, agent: http.Agent): Promise<CallResponse> =>
   new Promise((resolve, reject) => {
     const request = openRequest(address, call, agent);
     request.once('error', reject);
@@ -136,6 +141,34 @@
     request.end(call.body);
   });
 
+/** Starts a router on a loopback address; the routers of one store are peers. */
+export const startSiteRouter = async (
+  ip: string,
+  storeAddress: string,
+  bounds: object = {},
+): Promise<SiteRouter> => {
+  const settings = shared.settings.settingsSchema.parse(
+    routerSettings.makeRouterSettings(
+      ip,
+      {
+        kind: 'managed',
+        storeAddress,
+        bounds: { graceMs: 6_000, repeatShare: 2, repeatSlack: 100, ...bounds },
+      },
+      { logLevel: 'silent' },
+    ),
+  );
+  if (settings.platform.kind !== 'managed') {
+    throw new Error('expected managed settings');
+  }
+  const running = await router.startRoutedRouter.startRoutedRouter(settings, settings.platform);
+  return { callers: settings.callers, ready: settings.platform.readyAddress, running };
+};
+
+/** Waits until a router's readiness check succeeds. */
+export const waitUntilReady = ({ ready }: SiteRouter): Promise<void> =>
+  standIns.control.waitUntil(async () => (await fetch(`http://${ready}/readyz`)).ok);
+
 /** Starts a store, upstreams and a router on one loopback address. */
 export const startRoutedSite = async (
   ip: string,
@@ -166,32 +199,16 @@
   };
   upstreams.forEach((_, index) => registerUpstream(index));
   store.put(platform.wire.KEYS.configuration, makeConfiguration(1));
-  const settings = shared.settings.settingsSchema.parse(
-    routerSettings.makeRouterSettings(
-      ip,
-      {
-        kind: 'managed',
-        storeAddress: store.address,
-        bounds: { graceMs: 6_000, repeatShare: 2, repeatSlack: 100, ...bounds },
-      },
-      { logLevel: 'silent' },
-    ),
-  );
-  if (settings.platform.kind !== 'managed') {
-    throw new Error('expected managed settings');
-  }
-  const running = await router.startRoutedRouter.startRoutedRouter(settings, settings.platform);
+  const started = await startSiteRouter(ip, store.address, bounds);
   const agent = new http.Agent({ keepAlive: true });
   const site: RoutedSite = {
     store,
     upstreams,
-    callers: settings.callers,
-    ready: settings.platform.readyAddress,
-    running,
+    ...started,
     registerUpstream,
-    call: (call) => sendCall(settings.callers, call, agent),
+    call: (call) => sendCall(started.callers, call, agent),
     sendAndDisconnect: async (call) => {
-      const request = openRequest(settings.callers, call, new http.Agent());
+      const request = openRequest(started.callers, call, new http.Agent());
       request.on('error', () => undefined);
       request.end(call.body);
       await standIns.control.waitUntil(() =>
@@ -201,7 +218,7 @@
     },
     close: async () => {
       agent.destroy();
-      await running.close();
+      await started.running.close();
       await Promise.all(upstreams.map((upstream) => upstream.close()));
       await store.close();
     },
--- a/packages-private/stand-ins/src/index.ts
+++ b/packages-private/stand-ins/src/index.ts
@@ -7,3 +7,4 @@
 export * as forwarder from './forwarder.js';
 export * as platformStore from './platformStore.js';
 export * as routedUpstream from './routedUpstream.js';
+export * as crashingPool from './crashingPool.js';
--- a/packages-private/stand-ins/src/routedUpstream.ts
+++ b/packages-private/stand-ins/src/routedUpstream.ts
@@ -17,7 +17,13 @@
 /** How a stand-in of an upstream answers requests. */
 export type Behaviour =
   | { readonly kind: 'answer'; readonly status: number; readonly body: string }
-  | { readonly kind: 'stream'; readonly events: number; readonly cutAfter?: number }
+  | {
+      readonly kind: 'stream';
+      readonly events: number;
+      readonly cutAfter?: number;
+      /** The stream has neither a length nor chunks and ends with its connection. */
+      readonly isUnframed?: boolean;
+    }
   /** A refusal that is marked as not run. */
   | { readonly kind: 'turnAway'; readonly status: number }
   | { readonly kind: 'reset' }
@@ -37,6 +43,12 @@
   /** An answer without the stamp of the upstream. */
   | { readonly kind: 'unsigned' };
 
+/** How the connections of a process that ends are closed. */
+export type ConnectionEnd = 'close' | 'reset';
+
+/** Takes over the answer to a request; returns false to leave it to the behaviour of the upstream. */
+export type Interceptor = (received: ReceivedRequest, response: http.ServerResponse) => boolean;
+
 /** A stand-in of an upstream behind routes. */
 export interface RoutedUpstream {
   readonly id: string;
@@ -53,10 +65,16 @@
   readonly countOpen: () => number;
   /** Answers the requests that hang, in the same turn of the event loop. */
   readonly answerHeld: (behaviour: Behaviour) => void;
+  /** Ends the process: its port refuses at once, its streams break off within an event, its connections end. */
+  readonly crash: (end: ConnectionEnd) => void;
   readonly close: () => Promise<void>;
 }
 
 const EVENT_INTERVAL_MS = 5;
+/** Content type of streams. */
+const EVENT_STREAM = 'text/event-stream';
+/** Start of an event that the end of its process cuts off. */
+const EVENT_FRAGMENT = 'id: 99\nda';
 
 const makeEvent = (id: number): string => `id: ${id}\ndata: piece ${id}\n\n`;
 
@@ -88,16 +106,25 @@
   response.setHeader(H.stamp, `stamp-of-${upstream.id}`);
 };
 
+/** Sets the head of a stream, which is written with its first bytes. */
+export const setStreamHead: Responder = (upstream, received, response) => {
+  const { behaviour, confidence } = upstream;
+  writeStamp(upstream, received, response);
+  response.setHeader('content-type', EVENT_STREAM);
+  if (behaviour.kind === 'stream' && behaviour.isUnframed === true) {
+    response.removeHeader('transfer-encoding');
+  }
+  if (confidence !== null) {
+    response.setHeader(H.confidence, String(confidence));
+  }
+};
+
 const writeStream: Responder = (upstream, received, response) => {
   const { behaviour } = upstream;
   if (behaviour.kind !== 'stream') {
     return;
   }
-  writeStamp(upstream, received, response);
-  response.setHeader('content-type', 'text/event-stream');
-  if (upstream.confidence !== null) {
-    response.setHeader(H.confidence, String(upstream.confidence));
-  }
+  setStreamHead(upstream, received, response);
   const { cutAfter } = behaviour;
   let next = Number(received.headers[H.lastEventId] ?? 0) + 1;
   const timer = setInterval(() => {
@@ -203,7 +230,12 @@
 };
 
 /** Starts a stand-in of an upstream behind routes. */
-export const startRoutedUpstream = async (id: string): Promise<RoutedUpstream> => {
+export const startRoutedUpstream = async (
+  id: string,
+  intercept: Interceptor = () => false,
+): Promise<RoutedUpstream> => {
+  const sockets = new Set<net.Socket>();
+  const responses = new Set<http.ServerResponse>();
   const received: ReceivedRequest[] = [];
   const arrived: string[] = [];
   const cancelled: string[] = [];
@@ -216,8 +248,10 @@
   const server = http.createServer((request, response) => {
     arrived.push(String(request.headers[H.requestId]));
     openCount += 1;
+    responses.add(response);
     response.once('close', () => {
       openCount -= 1;
+      responses.delete(response);
     });
     const serve = async (upstream: RoutedUpstream): Promise<void> => {
       const body = await readText(request);
@@ -234,6 +268,9 @@
           cancelled.push(receivedRequest.id);
         }
       });
+      if (intercept(receivedRequest, response)) {
+        return;
+      }
       if (upstream.behaviour.kind === 'hang') {
         held.push(() => RESPONDERS[upstream.behaviour.kind](upstream, receivedRequest, response));
         return;
@@ -243,6 +280,10 @@
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the server starts first
     serve(standIn).catch(() => response.destroy());
   });
+  server.on('connection', (socket) => {
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
+  });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', () => resolve());
   });
@@ -260,6 +301,20 @@
       held = [];
       answers.forEach((answer) => answer());
     },
+    crash: (end: ConnectionEnd) => {
+      server.close();
+      responses.forEach((response) => {
+        if (response.getHeader('content-type') === EVENT_STREAM && !response.writableEnded) {
+          response.write(EVENT_FRAGMENT);
+        }
+      });
+      // The fragments are written at the end of this turn.
+      setImmediate(() =>
+        sockets.forEach((socket) =>
+          end === 'reset' ? socket.resetAndDestroy() : socket.destroy(),
+        ),
+      );
+    },
     close: async () => {
       server.closeAllConnections();
       server.close();
