test(measure): answers that end with their connection, over sockets

An answer, a stream too, may come with neither a length nor chunks and end with its connection; one that is reset, and a stream that ends within an event, have been broken off. Only one test showed a part of that (plain, unsafe).

--- a/packages-private/stand-ins/src/routedUpstream.ts
+++ b/packages-private/stand-ins/src/routedUpstream.ts
@@ -36,6 +36,11 @@
   | { readonly kind: 'short' }
   /** An answer without a length that ends with its connection, by a close or by a reset. */
   | { readonly kind: 'unframed'; readonly cut: 'no' | 'atOnce' | 'later' }
+  /** Bytes that a test writes to the connection itself. */
+  | {
+      readonly kind: 'raw';
+      readonly write: (socket: net.Socket, received: ReceivedRequest, stamps: string) => void;
+    }
   /** The head of an answer, which is written in the same turn of the event loop. */
   | { readonly kind: 'head'; readonly status: number }
   /** Bytes without end in the head of an answer, in its body, or in the body of a refusal marked as not run. */
@@ -189,6 +194,15 @@
       }
     }, EVENT_INTERVAL_MS * 4);
   },
+  raw: ({ behaviour, id }, received, { socket }) => {
+    if (behaviour.kind === 'raw' && socket !== null) {
+      behaviour.write(
+        socket,
+        received,
+        `${H.requestId}: ${received.id}\r\n${H.stamp}: of-${id}\r\n`,
+      );
+    }
+  },
   head: ({ behaviour, id, confidence }, received, { socket }) => {
     const status = behaviour.kind === 'head' ? behaviour.status : 200;
     socket?.write(
