--- a/packages-private/stand-ins/src/routedUpstream.ts
+++ b/packages-private/stand-ins/src/routedUpstream.ts
@@ -40,6 +40,11 @@
   | { readonly kind: 'short' }
   /** An answer without a length that ends with its connection, by a close or by a reset. */
   | { readonly kind: 'unframed'; readonly cut: 'no' | 'atOnce' | 'later' }
+  /** Bytes that a test writes to the connection itself. */
+  | {
+      readonly kind: 'raw';
+      readonly write: (socket: net.Socket, received: ReceivedRequest, stamps: string) => void;
+    }
   /** The head of an answer, which is written in the same turn of the event loop. */
   | { readonly kind: 'head'; readonly status: number }
   /** Bytes without end in the head of an answer, in its body, or in the body of a refusal marked as not run. */
@@ -47,6 +52,12 @@
   /** An answer without the stamp of the upstream. */
   | { readonly kind: 'unsigned' };
 
+/** How the connections of a process that ends are closed. */
+export type ConnectionEnd = 'close' | 'reset';
+
+/** Takes over the answer to a request; returns false to leave it to the behaviour of the upstream. */
+export type Interceptor = (received: ReceivedRequest, response: http.ServerResponse) => boolean;
+
 /** A stand-in of an upstream behind routes. */
 export interface RoutedUpstream {
   readonly id: string;
@@ -65,12 +76,18 @@
   readonly answerHeld: (behaviour: Behaviour) => void;
   /** Accepts no new connections; those that are open stay. */
   readonly refuseConnections: () => void;
+  /** Ends the process: its port refuses at once, its streams break off within an event, its connections end. */
+  readonly crash: (end: ConnectionEnd) => void;
   readonly close: () => Promise<void>;
 }
 
 const EVENT_INTERVAL_MS = 5;
 /** Number of events between two pauses of a stream. */
 const PAUSE_EVENTS = 2;
+/** Content type of streams. */
+const EVENT_STREAM = 'text/event-stream';
+/** Start of an event that the end of its process cuts off. */
+const EVENT_FRAGMENT = 'id: 99\nda';
 
 const makeEvent = (id: number, extraBytes = 0): string =>
   `id: ${id}\ndata: piece ${id}${' '.repeat(extraBytes)}\n\n`;
@@ -103,22 +120,26 @@
   response.setHeader(H.stamp, `stamp-of-${upstream.id}`);
 };
 
+/** Sets the head of a stream, which is written with its first bytes. */
+export const setStreamHead: Responder = (upstream, received, response) => {
+  const { behaviour, confidence } = upstream;
+  writeStamp(upstream, received, response);
+  response.setHeader('content-type', EVENT_STREAM);
+  if (behaviour.kind === 'stream' && behaviour.isUnframed === true) {
+    response.removeHeader('transfer-encoding');
+  }
+  if (confidence !== null) {
+    response.setHeader(H.confidence, String(confidence));
+  }
+};
+
 const writeStream: Responder = (upstream, received, response) => {
   const { behaviour } = upstream;
   if (behaviour.kind !== 'stream') {
     return;
   }
-  writeStamp(upstream, received, response);
-  response.setHeader('content-type', 'text/event-stream');
-  if (upstream.confidence !== null) {
-    response.setHeader(H.confidence, String(upstream.confidence));
-  }
-  const { cutAfter, pauseMs = 0, isUnframed = false, extraBytes = 0 } = behaviour;
-  if (isUnframed) {
-    // Without framing the end of the connection is the end of the answer.
-    response.useChunkedEncodingByDefault = false;
-    response.setHeader('connection', 'close');
-  }
+  setStreamHead(upstream, received, response);
+  const { cutAfter, pauseMs = 0, extraBytes = 0 } = behaviour;
   let next = Number(received.headers[H.lastEventId] ?? 0) + 1;
   let pausedUntilMs = 0;
   const timer = setInterval(() => {
@@ -187,6 +208,15 @@
       }
     }, EVENT_INTERVAL_MS * 4);
   },
+  raw: ({ behaviour, id }, received, { socket }) => {
+    if (behaviour.kind === 'raw' && socket !== null) {
+      behaviour.write(
+        socket,
+        received,
+        `${H.requestId}: ${received.id}\r\n${H.stamp}: of-${id}\r\n`,
+      );
+    }
+  },
   head: ({ behaviour, id, confidence }, received, { socket }) => {
     const status = behaviour.kind === 'head' ? behaviour.status : 200;
     socket?.write(
@@ -228,7 +258,12 @@
 };
 
 /** Starts a stand-in of an upstream behind routes. */
-export const startRoutedUpstream = async (id: string): Promise<RoutedUpstream> => {
+export const startRoutedUpstream = async (
+  id: string,
+  intercept: Interceptor = () => false,
+): Promise<RoutedUpstream> => {
+  const sockets = new Set<net.Socket>();
+  const responses = new Set<http.ServerResponse>();
   const received: ReceivedRequest[] = [];
   const arrived: string[] = [];
   const cancelled: string[] = [];
@@ -241,8 +276,10 @@
   const server = http.createServer((request, response) => {
     arrived.push(String(request.headers[H.requestId]));
     openCount += 1;
+    responses.add(response);
     response.once('close', () => {
       openCount -= 1;
+      responses.delete(response);
     });
     const serve = async (upstream: RoutedUpstream): Promise<void> => {
       const body = await readText(request);
@@ -259,6 +296,9 @@
           cancelled.push(receivedRequest.id);
         }
       });
+      if (intercept(receivedRequest, response)) {
+        return;
+      }
       if (upstream.behaviour.kind === 'hang') {
         held.push(() => RESPONDERS[upstream.behaviour.kind](upstream, receivedRequest, response));
         return;
@@ -268,6 +308,10 @@
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the server starts first
     serve(standIn).catch(() => response.destroy());
   });
+  server.on('connection', (socket) => {
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
+  });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', () => resolve());
   });
@@ -288,6 +332,20 @@
     refuseConnections: () => {
       net.Server.prototype.close.call(server);
     },
+    crash: (end: ConnectionEnd) => {
+      server.close();
+      responses.forEach((response) => {
+        if (response.getHeader('content-type') === EVENT_STREAM && !response.writableEnded) {
+          response.write(EVENT_FRAGMENT);
+        }
+      });
+      // The fragments are written at the end of this turn.
+      setImmediate(() =>
+        sockets.forEach((socket) =>
+          end === 'reset' ? socket.resetAndDestroy() : socket.destroy(),
+        ),
+      );
+    },
     close: async () => {
       server.closeAllConnections();
       server.close();
