--- a/packages/core/__tests__/guard.spec.ts
+++ b/packages/core/__tests__/guard.spec.ts
@@ -102,3 +102,68 @@
   );
   t.pass();
 });
+
+test('crashes of many upstreams at once hold back no part that was survived before', (t) => {
+  const site = guardFixtures.makeSite(2, 6);
+  const answerAll = (round: number): void =>
+    [0, 1].forEach((router) => {
+      site.send(router, `early-${round}-${router}`, SHARED);
+      site.begin(router, `early-${round}-${router}`);
+      site.wait(1_200);
+      site.complete(router, `early-${round}-${router}`);
+    });
+  answerAll(0);
+  for (let round = 1; round <= 4; round += 1) {
+    const upstreams = Array.from({ length: 12 }, (_, index) => {
+      const router = index % 2;
+      site.send(router, `hit-${round}-${index}`, SHARED);
+      return site.begin(router, `hit-${round}-${index}`);
+    });
+    new Set(upstreams).forEach((upstreamId) => site.crash(upstreamId ?? ''));
+    site.wait(700);
+    t.false(site.isHeldBack(0, SHARED));
+    t.false(site.isHeldBack(1, SHARED));
+  }
+});
+
+test('a router that joins learns the guards in force, and keeps them when all others leave', (t) => {
+  const site = guardFixtures.makeSite(2, 5);
+  crashUpstreams(site, 12);
+  const joined = site.join();
+  t.true(site.isHeldBack(joined, BAD));
+  t.false(site.isHeldBack(joined, SHARED));
+});
+
+test('guards spread although all broadcasts are lost', (t) => {
+  const site = guardFixtures.makeSite(2, 5, { areBroadcastsLost: true });
+  for (let index = 0; index < 8; index += 1) {
+    if (site.send(0, `bad-${index}`, BAD)) {
+      site.crash(site.begin(0, `bad-${index}`) ?? '');
+    }
+    site.wait(1_000);
+  }
+  t.true(site.isHeldBack(0, BAD));
+  t.true(site.isHeldBack(1, BAD));
+});
+
+test('an answer that the router dropped at its head counts when its upstream crashes shortly afterwards', (t) => {
+  const site = guardFixtures.makeSite(2, 5);
+  for (let index = 0; index < 6; index += 1) {
+    if (site.send(0, `bad-${index}`, BAD)) {
+      const upstreamId = site.begin(0, `bad-${index}`);
+      site.cancel(0, `bad-${index}`);
+      // The other router has a request there, and sees the crash.
+      site.report(1, upstreamId ?? '');
+    }
+    site.wait(1_000);
+  }
+  t.true(site.isHeldBack(0, BAD));
+  t.true(site.isHeldBack(1, BAD));
+});
+
+test('a request that waits at an upstream when its part is guarded is withdrawn, and is not sent again', (t) => {
+  const site = guardFixtures.makeSite(1, 5);
+  site.send(0, 'waiting', BAD);
+  crashUpstreams(site, 12);
+  t.false(site.isOpen(0, 'waiting'));
+});
--- a/packages/core/__tests__/guardFixtures.ts
+++ b/packages/core/__tests__/guardFixtures.ts
@@ -4,6 +4,7 @@
 
 /** Routers that share upstreams and exchange what they learn about crashes. */
 export interface Site {
+  /** Number of routers at the start. */
   readonly routers: readonly fixtures.Driver[];
   /** Sends a request to one router; returns whether it reached an upstream. */
   readonly send: (router: number, requestId: string, parts: readonly string[]) => boolean;
@@ -16,6 +17,19 @@
   /** Returns whether a request with these parts would be refused, without sending it. */
   readonly isHeldBack: (router: number, parts: readonly string[]) => boolean;
   readonly wait: (durationMs: number) => void;
+  /** Starts a router, which probes the others; returns its number. */
+  readonly join: () => number;
+  /** Ends a request because its caller has left. */
+  readonly cancel: (router: number, requestId: string) => void;
+  /** Makes one router observe a crash on which it has no evidence of its own; the upstream's successor is listed. */
+  readonly report: (router: number, upstreamId: string) => void;
+  /** Returns whether a request is in flight. */
+  readonly isOpen: (router: number, requestId: string) => boolean;
+}
+
+/** Options of a site. */
+export interface SiteOptions {
+  readonly areBroadcastsLost: boolean;
 }
 
 /** Interval between ticks of the routers, in milliseconds. */
@@ -29,13 +43,17 @@
   [...ids, `own-${requestId}`].map((id) => ({ id, tokens: 100 }));
 
 /** Makes a site of routers and upstreams. */
-export const makeSite = (routerCount: number, upstreamCount: number): Site => {
+export const makeSite = (
+  routerCount: number,
+  upstreamCount: number,
+  options: SiteOptions = { areBroadcastsLost: false },
+): Site => {
   const ids = Array.from({ length: upstreamCount }, (_, index) => `u${index}`);
   const routers = Array.from({ length: routerCount }, () => routedFixtures.makeRoutedDriver(ids));
   let nowMs = 1_000;
   let probes = 0;
   const passOn = (from: fixtures.Driver, effects: readonly core.effects.Effect[]): void => {
-    const others = routers.filter((router) => router !== from);
+    const others = routers.filter((router) => router !== from && !options.areBroadcastsLost);
     fixtures
       .pickEffects(effects, 'broadcastGuardNews')
       .forEach(({ news }) =>
@@ -92,6 +110,13 @@
         }),
     );
   };
+  const restartUpstream = (upstreamId: string): void =>
+    routers.forEach((_, router) =>
+      dispatch(router, {
+        type: 'hostChanged',
+        host: routedFixtures.makeHost(upstreamId, { bornAtMs: nowMs }),
+      }),
+    );
   return {
     routers,
     send: (router, requestId, parts) =>
@@ -123,13 +148,41 @@
     },
     crash: (upstreamId) => {
       routers.forEach((_, router) => breakAttempts(router, upstreamId));
-      routers.forEach((_, router) =>
-        dispatch(router, {
-          type: 'hostChanged',
-          host: routedFixtures.makeHost(upstreamId, { bornAtMs: nowMs }),
-        }),
-      );
+      restartUpstream(upstreamId);
+    },
+    join: () => {
+      const joined = routedFixtures.makeRoutedDriver(ids);
+      const host = routers[0]?.getState();
+      routers.push(joined);
+      if (host !== undefined) {
+        const message = core.membership.makeGossipMessage(host, [], nowMs, true);
+        joined.send({ type: 'gossipReceived', message }, nowMs);
+      }
+      return routers.length - 1;
+    },
+    cancel: (router, requestId) => {
+      dispatch(router, { type: 'callerGone', requestId });
+    },
+    report: (router, upstreamId) => {
+      const bornAtMs = routers[router]?.getState().upstreams.get(upstreamId)?.host.bornAtMs ?? 0;
+      const news: core.guardNews.GuardNews = {
+        ...core.guardNews.NO_NEWS,
+        crashes: [
+          {
+            crash: `${upstreamId}@${bornAtMs}`,
+            upstreamId,
+            ageMs: 0,
+            requests: [{ id: `other-${nowMs}`, parts: ['first'], hasBegun: false }],
+          },
+        ],
+      };
+      const driver = routers[router];
+      if (driver !== undefined) {
+        passOn(driver, [{ type: 'broadcastGuardNews', news }]);
+      }
+      restartUpstream(upstreamId);
     },
+    isOpen: (router, requestId) => routers[router]?.getState().requests.has(requestId) === true,
     isHeldBack: (router, parts) => {
       probes += 1;
       const requestId = `probe-${probes}`;
