fix(router): guards on prompt parts outlive a stop of all routers

Cause: guards were in the memory of the routers only, so that a restart of all of them let requests through that crash upstreams, until three more crashes.

A router that starts reads it with the other records, before its routes.

--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -95,6 +95,8 @@
   };
   /** Tells all peers what this router knows about requests that crash upstreams. */
   readonly broadcastGuardNews: { readonly news: guardNews.GuardNews };
+  /** Stores a guard with its reasons or, if `news` is null, removes it from the store. */
+  readonly recordGuard: { readonly id: string; readonly news: guardNews.GuardNews | null };
   readonly proposeRollout: {
     readonly model: string;
     readonly to: string;
--- a/packages/core/src/routed/guardNews.ts
+++ b/packages/core/src/routed/guardNews.ts
@@ -15,12 +15,17 @@
   readonly ageMs: number;
 }
 
+/** Time since a guard last refused a request. */
+export interface GuardAge {
+  readonly id: string;
+  readonly ageMs: number;
+}
+
 /** What routers tell each other about requests that crash upstreams. */
 export interface GuardNews {
   readonly crashes: readonly CrashReport[];
   readonly survivals: readonly KeyAge[];
-  /** Time since a guard last refused a request, by the id of the guard. */
-  readonly renewals: readonly KeyAge[];
+  readonly renewals: readonly GuardAge[];
 }
 
 /** News without content. */
@@ -88,6 +93,13 @@
       : [makeCrashReport(crash, record, listReasons(record, guard), nowMs)];
   });
 
+/** Makes the news of one guard, with the reasons that another router needs to derive it. */
+export const makeOneGuardNews = (
+  state: guardState.GuardState,
+  guard: guardState.Guard,
+  nowMs: number,
+): GuardNews => ({ ...NO_NEWS, crashes: listGuardCrashes(state, guard, nowMs) });
+
 /** Makes the news that repeat the guards in force, with the reasons that another router needs to derive them. */
 export const makeGuardNews = (state: guardState.GuardState, nowMs: number): GuardNews =>
   state.guards.length === 0
@@ -96,7 +108,7 @@
         crashes: state.guards.flatMap((guard) => listGuardCrashes(state, guard, nowMs)),
         survivals: [],
         renewals: state.guards.map((guard) => ({
-          key: guardState.makeGuardId(guard.keys),
+          id: guardState.makeGuardId(guard.keys),
           ageMs: Math.max(0, nowMs - guard.renewedAtMs),
         })),
       };
--- a/packages/core/src/routed/guardUpdates.ts
+++ b/packages/core/src/routed/guardUpdates.ts
@@ -170,8 +170,8 @@
     });
   }, withCrashes);
   const derived = withSurvivals === state ? state : deriveGuards(withSurvivals);
-  const renewed = news.renewals.reduce((next, { key, ageMs }) => {
-    const guard = next.guards.find((item) => guardState.makeGuardId(item.keys) === key);
+  const renewed = news.renewals.reduce((next, { id, ageMs }) => {
+    const guard = next.guards.find((item) => guardState.makeGuardId(item.keys) === id);
     return guard === undefined || guard.renewedAtMs >= nowMs - ageMs
       ? next
       : renewGuard(next, guard, nowMs - ageMs);
--- a/packages/core/src/routed/routedCrashes.ts
+++ b/packages/core/src/routed/routedCrashes.ts
@@ -173,7 +173,7 @@
 const listGuardIds = (guard: guardState.GuardState): readonly string[] =>
   guard.guards.map((item) => guardState.makeGuardId(item.keys));
 
-/** Logs guards that have begun or ended, and ends the requests that are now held back. */
+/** Logs and stores guards that have begun or ended, and ends the requests that are now held back. */
 const applyGuards = (
   before: routerState.RouterState,
   done: transition.Transition,
@@ -186,21 +186,29 @@
   if (begun.length + ended.length === 0) {
     return done;
   }
-  const logged = transition.composeTransition(done, (next) =>
-    transition.makeTransition(next, {
-      type: 'log',
-      message: 'requests held back after crashes',
-      fields: {
-        begun: next.routed.guard.guards.filter((guard) =>
-          begun.includes(guardState.makeGuardId(guard.keys)),
-        ),
-        ended,
+  const reported = transition.composeTransition(done, (next) => {
+    const { guard } = next.routed;
+    const started = guard.guards.filter((item) =>
+      begun.includes(guardState.makeGuardId(item.keys)),
+    );
+    return transition.makeTransition(
+      next,
+      {
+        type: 'log',
+        message: 'requests held back after crashes',
+        fields: { begun: started, ended },
       },
-    }),
-  );
+      ...started.map((item) => ({
+        type: 'recordGuard' as const,
+        id: guardState.makeGuardId(item.keys),
+        news: guardNews.makeOneGuardNews(guard, item, stamp.nowMs),
+      })),
+      ...ended.map((id) => ({ type: 'recordGuard' as const, id, news: null })),
+    );
+  });
   return begun.length === 0
-    ? logged
-    : transition.composeTransition(logged, (next) => endHeldBackRequests(next, stamp));
+    ? reported
+    : transition.composeTransition(reported, (next) => endHeldBackRequests(next, stamp));
 };
 
 /** Records the crash of an upstream that serves requests; one that is being stopped ends without a fault. */
--- a/packages/router/src/routed/fileSource.ts
+++ b/packages/router/src/routed/fileSource.ts
@@ -57,6 +57,8 @@
     refresh: async () => poll(),
     recordCanaryOutcome: ({ order }) =>
       log.warn({ order }, 'roll-out outcome not recorded: no store configured'),
+    // Without a store, guards are kept by the routers that run.
+    recordGuard: () => undefined,
     leave: async () => undefined,
     countCalls: () => 0,
     stop: async () => {
--- a/packages/router/src/routed/routeSource.ts
+++ b/packages/router/src/routed/routeSource.ts
@@ -19,6 +19,8 @@
   readonly refresh: () => Promise<boolean>;
   /** Records the outcome of a roll-out. */
   readonly recordCanaryOutcome: (effect: core.effects.EffectOf<'recordCanaryOutcome'>) => void;
+  /** Records that a guard on requests that crash upstreams has begun or ended. */
+  readonly recordGuard: (effect: core.effects.EffectOf<'recordGuard'>) => void;
   /** Removes the registration of this router. */
   readonly leave: () => Promise<void>;
   /** Returns the number of calls made to the store so far. */
--- a/packages/router/src/routed/routedRunners.ts
+++ b/packages/router/src/routed/routedRunners.ts
@@ -243,6 +243,7 @@
     broadcastGuardNews: (effect) => context.peers.broadcastGuardNews(effect.news),
     sendProbe: (effect) => context.peers.sendProbe(effect),
     sendIndirectProbe: (effect) => context.peers.sendIndirectProbe(effect),
+    recordGuard: (effect) => context.source.recordGuard(effect),
     recordCanaryOutcome: (effect) => context.source.recordCanaryOutcome(effect),
     log: (effect) => context.log.info(effect.fields, effect.message),
   };
--- a/packages/router/src/routed/storeSource.ts
+++ b/packages/router/src/routed/storeSource.ts
@@ -1,5 +1,6 @@
 import * as platform from '@jayrock/platform';
 import * as canaryRecords from './canaryRecords.js';
+import * as guardRecords from './guardRecords.js';
 import * as hostFeed from './hostFeed.js';
 import * as peerFeed from './peerFeed.js';
 import * as prefixFeed from './prefixFeed.js';
@@ -21,12 +22,14 @@
   const { runtime, log, clock } = context;
   const store = platform.storeClient.openStoreClient(storeAddress, localAddress);
   const canaries = canaryRecords.makeCanaryRecords(runtime, store, log);
+  const guards = guardRecords.makeGuardRecords(runtime, store, log);
   let registration: peerFeed.PeerFeed | null = null;
   let operatorFeed: prefixFeed.PrefixFeed | null = null;
   let feeds: readonly prefixFeed.PrefixFeed[] = [];
   const handleOwnKey = (key: string, value: string | null, revision: number): void => {
     registration?.handleChange(key, value);
     canaries.handleRecord(key, value, revision);
+    guards.handleRecord(key, value);
   };
   const handleOperatorKey = (key: string, value: string | null, revision: number): void => {
     if (key === platform.wire.KEYS.configuration && value !== null) {
@@ -74,12 +77,14 @@
     },
     refresh: () => operatorFeed?.refresh() ?? Promise.resolve(false),
     recordCanaryOutcome: canaries.recordCanaryOutcome,
+    recordGuard: guards.recordGuard,
     leave: async () => registration?.leave(),
     countCalls: store.countCalls,
     stop: async () => {
       feeds.forEach((feed) => feed.stop());
       operatorFeed?.stop();
       registration?.stop();
+      guards.stop();
       await store.close();
     },
   };
