fix(core): short answers clear their keys sooner, so that shared parts are not held back at the start

Cause: an answer cleared its keys once it had run for a second, a shorter one three seconds after its head. Right after the start of a site no shared part was cleared when the first crashes came, so the parts that bad and sound requests share explained the crashes as well as the bad one, and guards on them came and went until one more crash told them apart.

Change: a complete answer of half a second clears its keys at once, a shorter one a second after its head if its upstream has not crashed.

--- a/packages/core/src/routed/guardRules.ts
+++ b/packages/core/src/routed/guardRules.ts
@@ -3,7 +3,7 @@
 /** Crashes from which a key is guarded if upstreams had just begun the requests with it. */
 const MIN_BEGUN = 3;
 /** The same if it is not known whether they had begun them. */
-const MIN_PRESENT = 5;
+const MIN_PRESENT = 4;
 /** Requests that a part must have been in: with fewer, the request itself may be the cause. */
 const MIN_REQUESTS = 2;
 /** Separate crashes from which a key is guarded although an upstream survived it before. */
--- a/packages/core/src/routed/guardState.ts
+++ b/packages/core/src/routed/guardState.ts
@@ -69,6 +69,8 @@
 
 /** Time from the head of an answer within which a crash counts as caused by it, in milliseconds. */
 export const BEGIN_MS = 1_000;
+/** Duration of a complete answer that was certainly begun without a crash, in milliseconds. */
+export const SURVIVED_MS = 500;
 /** Time for which a guard lasts after the last request that it refused, in milliseconds. */
 export const HOLD_MS = 5 * 60_000;
 /** Most parts of one request that are examined. */
--- a/packages/core/src/routed/guardUpdates.ts
+++ b/packages/core/src/routed/guardUpdates.ts
@@ -197,30 +197,34 @@
   return isUnchanged ? state : deriveGuards({ ...state, crashes });
 };
 
+const hasSurvived = (answer: guardState.RecentAnswer, nowMs: number): boolean =>
+  answer.isComplete && nowMs - answer.atMs >= guardState.BEGIN_MS;
+
 /**
  * Drops old answers and evidence. A complete answer counts as survived if its upstream has not crashed for some time
- * afterwards; it may have been too short for the crash to show.
+ * after its head; it may have been too short for the crash to show.
  */
 export const tickGuard = (state: guardState.GuardState, nowMs: number): GuardUpdate => {
   if (state.answers.size === 0 && state.crashes.size === 0) {
     return { state, news: guardNews.NO_NEWS };
   }
-  const expired = state.answers
-    .valueSeq()
-    .flatMap((answers) => answers)
-    .filter((answer) => nowMs - answer.atMs >= ANSWER_TTL_MS);
-  if (expired.isEmpty()) {
-    return { state: expireEvidence(state, nowMs), news: guardNews.NO_NEWS };
-  }
-  const survived = state.answers
-    .entrySeq()
-    .filter(([crash]) => !state.crashes.has(crash))
-    .flatMap(([, answers]) => answers)
-    .filter((answer) => answer.isComplete && nowMs - answer.atMs >= ANSWER_TTL_MS)
-    .map((answer) => answer.request)
-    .toArray();
-  const answers = state.answers
-    .map((list) => list.filter((answer) => nowMs - answer.atMs < ANSWER_TTL_MS))
-    .filter((list) => list.length > 0);
+  const survived: guardState.AccusedRequest[] = [];
+  const answers = state.answers.withMutations((next) =>
+    state.answers.forEach((list, crash) => {
+      const kept = list.filter(
+        (answer) => !hasSurvived(answer, nowMs) && nowMs - answer.atMs < ANSWER_TTL_MS,
+      );
+      if (!state.crashes.has(crash)) {
+        list
+          .filter((answer) => hasSurvived(answer, nowMs))
+          .forEach((answer) => survived.push(answer.request));
+      }
+      if (kept.length === 0) {
+        next.remove(crash);
+      } else if (kept.length < list.length) {
+        next.set(crash, kept);
+      }
+    }),
+  );
   return recordSurvived(expireEvidence({ ...state, answers }, nowMs), survived, nowMs);
 };
--- a/packages/core/src/routed/routedCrashes.ts
+++ b/packages/core/src/routed/routedCrashes.ts
@@ -94,7 +94,7 @@
   if (request.routed === null) {
     return transition.makeTransition(current);
   }
-  if (attempt.headAtMs !== null && nowMs - attempt.headAtMs >= guardState.BEGIN_MS) {
+  if (attempt.headAtMs !== null && nowMs - attempt.headAtMs >= guardState.SURVIVED_MS) {
     const survived = [guardState.makeAccused(request.routed.call, true)];
     return applyUpdate(current, guardUpdates.recordSurvived(guard, survived, nowMs));
   }
