--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -1,6 +1,7 @@
 import type * as shared from '@jayrock/shared';
 import type * as claimLog from './claims/claimLog.js';
 import type * as events from './events.js';
+import type * as guardNews from './routed/guardNews.js';
 import type * as canaryState from './routed/canaryState.js';
 import type * as requestState from './requestState.js';
 import type * as versionId from './versionId.js';
@@ -92,6 +93,10 @@
     readonly fingerprint: string;
     readonly crashes: readonly string[];
   };
+  /** Tells all peers what this router knows about requests that crash upstreams. */
+  readonly broadcastGuardNews: { readonly news: guardNews.GuardNews };
+  /** Stores a guard with its reasons or, if `news` is null, removes it from the store. */
+  readonly recordGuard: { readonly id: string; readonly news: guardNews.GuardNews | null };
   readonly proposeRollout: {
     readonly model: string;
     readonly to: string;
