perf(core): evidence of crashes that can guard nothing is merged without deriving the guards anew

Cause: each message about a crash made every router count all evidence again, and 128 guards could be derived from evidence on keys of which none was cleared.

Change: guards are derived anew only if a key of the message is guarded or may now have enough crashes, at most 16 of them, and survivals are exchanged only for keys that two crashes accuse.

--- a/packages/core/src/routed/guardNews.ts
+++ b/packages/core/src/routed/guardNews.ts
@@ -122,7 +122,9 @@
       makeCrashReport(crash, record, record.requests.valueSeq().toArray(), nowMs),
     )
     .toArray(),
-  survivals: Array.from(state.accusedAtMs.keys()).flatMap((key) => {
+  survivals: Array.from(
+    new Set(state.crashes.valueSeq().flatMap((record) => record.keys.keySeq())),
+  ).flatMap((key) => {
     const survival = guardState.findSurvival(state, key);
     return survival === undefined ? [] : [{ key, ageMs: Math.max(0, nowMs - survival.atMs) }];
   }),
--- a/packages/core/src/routed/guardRules.ts
+++ b/packages/core/src/routed/guardRules.ts
@@ -10,6 +10,8 @@
 const MIN_AFTER_SURVIVAL = 5;
 /** Time within which crashes may have a common cause, in milliseconds. */
 const COMMON_CAUSE_MS = 500;
+/** Most findings that are derived, so that much evidence does not take long. */
+const MAX_FINDINGS = 16;
 
 /** A crash with the requests that may have caused it and are not cleared. */
 interface Incident {
@@ -79,13 +81,31 @@
     { count: 0, lastMs: -Infinity },
   ).count;
 
-const isDue = (tally: Tally): boolean => {
-  if (guardState.isPartKey(tally.key) && tally.requests.size < MIN_REQUESTS) {
-    return false;
-  }
-  return tally.hasSurvived
-    ? countSeparate(Array.from(tally.begunAtMs.values())) >= MIN_AFTER_SURVIVAL
-    : tally.begunAtMs.size >= MIN_BEGUN || tally.crashes.size >= MIN_PRESENT;
+const hasEnoughCrashes = (
+  begunAtMs: readonly number[],
+  crashCount: number,
+  hasSurvived: boolean,
+): boolean =>
+  hasSurvived
+    ? countSeparate(begunAtMs) >= MIN_AFTER_SURVIVAL
+    : begunAtMs.length >= MIN_BEGUN || crashCount >= MIN_PRESENT;
+
+const isDue = (tally: Tally): boolean =>
+  (!guardState.isPartKey(tally.key) || tally.requests.size >= MIN_REQUESTS) &&
+  hasEnoughCrashes(Array.from(tally.begunAtMs.values()), tally.crashes.size, tally.hasSurvived);
+
+/** Returns whether a key may have to be guarded, before it is known which crashes others explain. */
+export const mayBeDue = (state: guardState.GuardState, key: string): boolean => {
+  const survivedAtMs = guardState.findSurvival(state, key)?.atMs ?? null;
+  const records = state.crashes
+    .valueSeq()
+    .filter((record) => record.keys.has(key) && record.atMs > (survivedAtMs ?? -Infinity))
+    .toArray();
+  const begunAtMs = records
+    .filter((record) => record.keys.get(key) === true)
+    .map((record) => record.atMs)
+    .toSorted((a, b) => a - b);
+  return hasEnoughCrashes(begunAtMs, records.length, survivedAtMs !== null);
 };
 
 /** Orders keys by how well they explain the crashes: most crashes first, then parts. */
@@ -171,8 +191,8 @@
       .filter((tally) => !examined.has(tally.key) && isDue(tally))
       .toSorted((a, b) => compareTallies(a, b) || compareKeys(a, b));
     const [best] = due;
-    if (best === undefined) {
-      return findings;
+    if (best === undefined || findings.length >= MAX_FINDINGS) {
+      return findings.slice(0, MAX_FINDINGS);
     }
     const crashes = listEvidence(best);
     const keys = due
--- a/packages/core/src/routed/guardState.ts
+++ b/packages/core/src/routed/guardState.ts
@@ -15,6 +15,8 @@
 export interface CrashRecord {
   readonly atMs: number;
   readonly requests: immutable.Map<string, AccusedRequest>;
+  /** Keys of the requests, and whether the upstream had just begun a request with the key. */
+  readonly keys: immutable.Map<string, boolean>;
 }
 
 /** Last answer with a key that an upstream survived. */
@@ -52,8 +54,6 @@
   /** Survivals by key: the recent ones, and those before, which are dropped when the recent ones are full. */
   readonly survivals: immutable.Map<string, Survival>;
   readonly olderSurvivals: immutable.Map<string, Survival>;
-  /** Time of the last crash at which an upstream had just begun a request with the key. */
-  readonly accusedAtMs: ReadonlyMap<string, number>;
   readonly guards: readonly Guard[];
 }
 
@@ -63,7 +63,6 @@
   crashes: immutable.Map(),
   survivals: immutable.Map(),
   olderSurvivals: immutable.Map(),
-  accusedAtMs: new Map(),
   guards: [],
 };
 
@@ -111,6 +110,16 @@
   ...request.parts.map(makePartKey),
 ];
 
+/** Returns the time of the last crash that accuses a key, or null if fewer than two do. */
+export const findAccusedMs = (state: GuardState, key: string): number | null => {
+  const times = state.crashes
+    .valueSeq()
+    .filter((record) => record.keys.has(key))
+    .map((record) => record.atMs)
+    .toArray();
+  return times.length < 2 ? null : Math.max(...times);
+};
+
 /** Returns the last known survival of a key. */
 export const findSurvival = (state: GuardState, key: string): Survival | undefined =>
   state.survivals.get(key) ?? state.olderSurvivals.get(key);
@@ -152,6 +161,16 @@
     : requests;
 };
 
+const addKeys = (
+  keys: immutable.Map<string, boolean>,
+  requests: readonly AccusedRequest[],
+): immutable.Map<string, boolean> =>
+  keys.withMutations((next) =>
+    requests.forEach((request) =>
+      listKeys(request).forEach((key) => next.set(key, request.hasBegun || next.get(key) === true)),
+    ),
+  );
+
 /** Drops crashes above the limit: first those without a guard, the oldest first. */
 const dropExcess = (state: GuardState): GuardState => {
   if (state.crashes.size <= MAX_CRASHES) {
@@ -172,7 +191,11 @@
   atMs: number,
   requests: readonly AccusedRequest[],
 ): GuardState => {
-  const known = state.crashes.get(crash) ?? { atMs, requests: immutable.Map() };
+  const known: CrashRecord = state.crashes.get(crash) ?? {
+    atMs,
+    requests: immutable.Map(),
+    keys: immutable.Map(),
+  };
   const merged = requests.reduce(mergeRequest, known.requests);
   return merged === known.requests
     ? state
@@ -181,6 +204,7 @@
         crashes: state.crashes.set(crash, {
           atMs: Math.min(known.atMs, atMs),
           requests: merged,
+          keys: addKeys(known.keys, requests),
         }),
       });
 };
--- a/packages/core/src/routed/guardUpdates.ts
+++ b/packages/core/src/routed/guardUpdates.ts
@@ -1,4 +1,3 @@
-import * as immutable from 'immutable';
 import * as guardNews from './guardNews.js';
 import * as guardRules from './guardRules.js';
 import * as guardState from './guardState.js';
@@ -6,23 +5,6 @@
 /** Time for which recent answers are kept, in milliseconds; a crash is known to all routers within it. */
 const ANSWER_TTL_MS = 3 * guardState.BEGIN_MS;
 
-/** Lists the last crash at which upstreams had just begun a request, by key. */
-const listAccused = (
-  crashes: immutable.Map<string, guardState.CrashRecord>,
-): ReadonlyMap<string, number> => {
-  const accused = new Map<string, number>();
-  crashes.forEach((record) =>
-    record.requests.forEach((request) => {
-      if (request.hasBegun) {
-        guardState
-          .listKeys(request)
-          .forEach((key) => accused.set(key, Math.max(accused.get(key) ?? 0, record.atMs)));
-      }
-    }),
-  );
-  return accused;
-};
-
 const findLastMs = (state: guardState.GuardState, crashes: readonly string[]): number =>
   Math.max(...crashes.map((crash) => state.crashes.get(crash)?.atMs ?? 0));
 
@@ -37,9 +19,28 @@
     renewedAtMs:
       previous.get(guardState.makeGuardId(keys))?.renewedAtMs ?? findLastMs(state, crashes),
   }));
-  return { ...state, guards, accusedAtMs: listAccused(state.crashes) };
+  return { ...state, guards };
 };
 
+const isGuarded = (state: guardState.GuardState, key: string): boolean =>
+  state.guards.some((guard) => guard.keys.includes(key));
+
+/** Derives the guards anew if the survival of these keys can end one. */
+const deriveIfGuarded = (
+  state: guardState.GuardState,
+  keys: readonly string[],
+): guardState.GuardState =>
+  keys.some((key) => isGuarded(state, key)) ? deriveGuards(state) : state;
+
+/** Derives the guards anew if new evidence on these keys can change them. */
+const deriveIfDue = (
+  state: guardState.GuardState,
+  keys: readonly string[],
+): guardState.GuardState =>
+  keys.some((key) => isGuarded(state, key) || guardRules.mayBeDue(state, key))
+    ? deriveGuards(state)
+    : state;
+
 /** Records that a guard has refused a request. */
 export const renewGuard = (
   state: guardState.GuardState,
@@ -70,9 +71,9 @@
  * only of one before the last crash.
  */
 const isNews = (state: guardState.GuardState, key: string): boolean => {
-  const accusedAtMs = state.accusedAtMs.get(key);
   const survival = guardState.findSurvival(state, key);
-  if (accusedAtMs === undefined || survival === undefined) {
+  const accusedAtMs = survival === undefined ? null : guardState.findAccusedMs(state, key);
+  if (accusedAtMs === null || survival === undefined) {
     return false;
   }
   const { atMs, sharedAtMs } = survival;
@@ -115,13 +116,16 @@
   );
 };
 
+const listAllKeys = (requests: readonly guardState.AccusedRequest[]): readonly string[] =>
+  Array.from(new Set(requests.flatMap(guardState.listKeys)));
+
 /** Records answers that upstreams survived. */
 export const recordSurvived = (
   state: guardState.GuardState,
   requests: readonly guardState.AccusedRequest[],
   atMs: number,
 ): GuardUpdate => {
-  const keys = requests.flatMap(guardState.listKeys);
+  const keys = listAllKeys(requests);
   const update = takeSurvivalNews(recordSurvivals(state, keys, atMs), keys, atMs);
   return guardNews.isEmpty(update.news) ? update : { ...update, state: deriveGuards(update.state) };
 };
@@ -138,9 +142,8 @@
   if (added === state) {
     return { state, news: guardNews.NO_NEWS };
   }
-  const derived = deriveGuards(added);
-  const keys = requests.filter((request) => request.hasBegun).flatMap(guardState.listKeys);
-  const survivals = takeSurvivalNews(derived, keys, nowMs);
+  const keys = listAllKeys(requests);
+  const survivals = takeSurvivalNews(deriveIfDue(added, keys), keys, nowMs);
   return {
     state: survivals.state,
     news: guardNews.joinNews(
@@ -169,16 +172,19 @@
       sharedAtMs: Math.max(known?.sharedAtMs ?? -Infinity, atMs),
     });
   }, withCrashes);
-  const derived = withSurvivals === state ? state : deriveGuards(withSurvivals);
+  const keys =
+    withCrashes === state ? [] : listAllKeys(news.crashes.flatMap((report) => report.requests));
+  const derived = deriveIfGuarded(
+    deriveIfDue(withSurvivals, keys),
+    news.survivals.map((survival) => survival.key),
+  );
   const renewed = news.renewals.reduce((next, { id, ageMs }) => {
     const guard = next.guards.find((item) => guardState.makeGuardId(item.keys) === id);
     return guard === undefined || guard.renewedAtMs >= nowMs - ageMs
       ? next
       : renewGuard(next, guard, nowMs - ageMs);
   }, derived);
-  return withCrashes === state
-    ? { state: renewed, news: guardNews.NO_NEWS }
-    : takeSurvivalNews(renewed, Array.from(renewed.accusedAtMs.keys()), nowMs);
+  return takeSurvivalNews(renewed, keys, nowMs);
 };
 
 /** Drops crashes that are old and support no guard, and guards that have refused nothing for long. */
