fix(router): an answer that a crash ends at the edge of an event does not clear its parts

Cause: an answer without length and chunks ends with its connection; cut between two events it looks complete, so that it would clear the very part that crashes upstreams. Seen by reading; the crashes in the record were all of chunked streams.

Change: the end of such an answer within a second of its head leads to the same check of the upstream's port as a broken one. A crash that is found accuses it, since short answers clear nothing until a second after their heads.

Measured: a test of each half (routedAttempt.spec.ts, guard.spec.ts).

--- a/packages/core/__tests__/guard.spec.ts
+++ b/packages/core/__tests__/guard.spec.ts
@@ -161,6 +161,20 @@
   t.true(site.isHeldBack(1, BAD));
 });
 
+test('an answer that seemed complete counts when its upstream turns out to have crashed', (t) => {
+  const site = guardFixtures.makeSite(2, 5);
+  for (let index = 0; index < 6; index += 1) {
+    if (site.send(0, `bad-${index}`, BAD)) {
+      const upstreamId = site.begin(0, `bad-${index}`);
+      site.complete(0, `bad-${index}`);
+      site.report(1, upstreamId ?? '');
+    }
+    site.wait(2_000);
+  }
+  t.true(site.isHeldBack(0, BAD));
+  t.true(site.isHeldBack(1, BAD));
+});
+
 test('a request that waits at an upstream when its part is guarded is withdrawn, and is not sent again', (t) => {
   const site = guardFixtures.makeSite(1, 5);
   site.send(0, 'waiting', BAD);
--- a/packages/router/__tests__/routedAttempt.spec.ts
+++ b/packages/router/__tests__/routedAttempt.spec.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
+import * as platform from '@jayrock/platform';
 import test from 'ava';
 import type * as undici from 'undici';
 import type * as inputBarrier from '../src/eventLoop/inputBarrier.js';
@@ -11,6 +12,8 @@
   readonly pools: connectionPools.ConnectionPools;
   /** Opens the connection that the attempt waits for; returns why the attempt was aborted, or null. */
   readonly open: () => string | null;
+  /** Delivers a whole answer that has no bytes. */
+  readonly answer: (headers: Readonly<Record<string, string>>) => void;
 }
 
 /** Creates pools whose connections open only when the test calls `open`. */
@@ -39,6 +42,11 @@
       handler?.onRequestStart?.(controller as undici.Dispatcher.DispatchController, null);
       return abortReason;
     },
+    answer: (headers) => {
+      const controller = {} as undici.Dispatcher.DispatchController;
+      handler?.onResponseStart?.(controller, 200, headers);
+      handler?.onResponseEnd?.(controller, {});
+    },
   };
 };
 
@@ -70,11 +78,14 @@
 const startAttempt = (
   pools: connectionPools.ConnectionPools,
   detectOverdue: () => string | null = () => null,
+  isStream = false,
 ): {
   readonly running: pendingRoutedRequest.RunningAttempt;
   readonly failures: routedAttempt.RoutedAttemptFailure[];
+  readonly ends: routedAttempt.StreamSummary[];
 } => {
   const failures: routedAttempt.RoutedAttemptFailure[] = [];
+  const ends: routedAttempt.StreamSummary[] = [];
   const running = routedAttempt.startRoutedAttempt(
     pools,
     IMMEDIATE_BARRIER,
@@ -90,12 +101,12 @@
         organisation: 'ada',
         model: null,
         priority: 0,
-        isStream: false,
+        isStream,
       },
     },
     {
       handleHead: () => undefined,
-      handleEnd: () => undefined,
+      handleEnd: (stream) => ends.push(stream),
       handleFailure: (failure) => failures.push(failure),
       detectOverdue,
       handleSent: () => undefined,
@@ -104,7 +115,7 @@
       handleLoad: () => undefined,
     },
   );
-  return { running, failures };
+  return { running, failures, ends };
 };
 
 test('dropping an attempt that waits for a connection fails it as unsent, and it is never sent', (t) => {
@@ -136,3 +147,17 @@
     { failure: 'overdue', isUnsent: true, isNotRun: true, reason: 'keyWithdrawn' },
   ]);
 });
+
+test('a short answer that only its connection ends may have been cut by a crash, one with chunks was not', (t) => {
+  const H = platform.wire.HEADERS;
+  const headers = { [H.requestId]: 'a', [H.stamp]: 'stamp' };
+  const isCut = [headers, { ...headers, 'transfer-encoding': 'chunked' }].map((sent) => {
+    const { pools, open, answer } = makePools();
+    const { ends, failures } = startAttempt(pools, () => null, true);
+    open();
+    answer(sent);
+    t.deepEqual(failures, []);
+    return ends.map((end) => end.mayBeCut);
+  });
+  t.deepEqual(isCut, [[true], [false]]);
+});
--- a/packages/router/src/routed/routedAttempt.ts
+++ b/packages/router/src/routed/routedAttempt.ts
@@ -1,4 +1,4 @@
-import type * as core from '@jayrock/core';
+import * as core from '@jayrock/core';
 import * as platform from '@jayrock/platform';
 import type * as undici from 'undici';
 import type * as inputBarrier from '../eventLoop/inputBarrier.js';
@@ -41,6 +41,8 @@
   readonly events: number;
   /** Time from the first event to the last, in milliseconds. */
   readonly streamMs: number;
+  /** True when the end of the connection ended the answer, a short time after its head. */
+  readonly mayBeCut: boolean;
 }
 
 /** Failure of an attempt. */
@@ -71,6 +73,10 @@
 const isSuccess = (status: number): boolean =>
   status >= FIRST_SUCCESS_STATUS && status < FIRST_REDIRECT_STATUS;
 
+/** Returns whether an answer has no length and no chunks, so that it ends with its connection. */
+const isUnframed = (headers: platform.callHeaders.ParsedHeaders): boolean =>
+  headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+
 /** Returns why an answer cannot be the upstream's own answer to this request, or null if it can. */
 const describeInvalidAnswer = (
   status: number,
@@ -105,6 +111,7 @@
   let isCancelled = false;
   let controller: undici.Dispatcher.DispatchController | null = null;
   let head: { status: number; headers: platform.callHeaders.ParsedHeaders } | null = null;
+  let headAtMs = 0;
   let buffered: Buffer[] = [];
   let bufferedBytes = 0;
   let discardedBytes = 0;
@@ -244,6 +251,7 @@
       return;
     }
     head = { status, headers };
+    headAtMs = performance.now();
     if (send.isStream && isSuccess(status)) {
       handleStreamHead(parsed.confidence);
     } else {
@@ -289,7 +297,11 @@
       }
     }
     closeAttempt();
-    listener.handleEnd({ events: eventCount, streamMs: lastEventAtMs - firstEventAtMs });
+    listener.handleEnd({
+      events: eventCount,
+      streamMs: lastEventAtMs - firstEventAtMs,
+      mayBeCut: isUnframed(head.headers) && performance.now() - headAtMs < core.guardState.BEGIN_MS,
+    });
   };
   const handleError = (error: Error): void => {
     if (isClosed || isCancelled) {
--- a/packages/router/src/routed/routedRunners.ts
+++ b/packages/router/src/routed/routedRunners.ts
@@ -92,9 +92,18 @@
       handleHead: (head) => {
         context.runtime.dispatch({ type: 'routedHeadArrived', requestId, attemptId, head });
       },
-      handleEnd: (stream) => {
+      handleEnd: ({ events, streamMs, mayBeCut }) => {
         pending.attempts.delete(attemptId);
-        context.runtime.dispatch({ type: 'routedAttemptEnded', requestId, attemptId, ...stream });
+        context.runtime.dispatch({
+          type: 'routedAttemptEnded',
+          requestId,
+          attemptId,
+          events,
+          streamMs,
+        });
+        if (mayBeCut) {
+          detectCrash(context, upstreamId, address);
+        }
       },
       handleFailure: ({ failure, isUnsent, isNotRun, reason }) => {
         pending.attempts.delete(attemptId);
