fix(core): a stream whose rest an upstream rejects does not end as if it were complete

What callers saw: a stream with the body of a 400 behind its first events, and the end of a whole answer. Cause: only statuses from 500 on counted as failures. Any other status of an attempt that was to continue an answer was forwarded, and its body was written and ended behind the events of the attempt before. Change: once an answer has begun, only a success can continue it; all else is sent again or ends the answer as cut. Before and after (cutAnswers.spec.ts, 400 from the upstreams that get the rest): whole, with "no such event" in the body; broken off.

--- a/packages-private/measure/__tests__/cutAnswers.spec.ts
+++ b/packages-private/measure/__tests__/cutAnswers.spec.ts
@@ -152,7 +152,7 @@
   t.is(countSends(site, 'q1'), 1);
 });
 
-test.serial.failing(
+test.serial(
   'a started stream does not look complete when another upstream rejects its rest',
   async (t) => {
     const site = await startSite(t, '127.0.124.8', 3);
--- a/packages/core/__tests__/routed.spec.ts
+++ b/packages/core/__tests__/routed.spec.ts
@@ -381,6 +381,9 @@
   t.is(findRefusal(late), 'overloaded');
 });
 
+const listAttemptIds = (effects: readonly core.effects.Effect[]): readonly number[] =>
+  fixtures.pickEffects(effects, 'startAttempt').map((effect) => effect.attemptId);
+
 /** Starts a stream and forwards its head; returns the id of its attempt. */
 const startStream = (driver: fixtures.Driver): number => {
   routedFixtures.sendCall(driver, 'a', { path: '/talk/' });
@@ -457,3 +460,25 @@
   t.is(fixtures.pickEffects(effects, 'dropUnsent').length, 1);
   t.not(listStarts(routedFixtures.sendCall(driver, 'b', { path: '/talk/' }))[0], upstreamId);
 });
+
+test('only a success can continue an answer that has begun', (t) => {
+  const driver = routedFixtures.makeRoutedDriver(['u1', 'u2', 'u3']);
+  const attemptId = startStream(driver);
+  const [next] = listAttemptIds(driver.send(routedFixtures.makeFailure('a', attemptId)));
+  const head = { status: 400, confidence: null };
+  const rejected = driver.send({
+    type: 'routedHeadArrived',
+    requestId: 'a',
+    attemptId: next ?? -1,
+    head,
+  });
+  t.is(fixtures.pickEffects(rejected, 'forwardAnswer').length, 0);
+  const [last] = listAttemptIds(rejected);
+  const ended = driver.send({
+    type: 'routedHeadArrived',
+    requestId: 'a',
+    attemptId: last ?? -1,
+    head,
+  });
+  t.is(findRefusal(ended), 'answerIncomplete');
+});
--- a/packages/core/src/routed/routedAnswers.ts
+++ b/packages/core/src/routed/routedAnswers.ts
@@ -5,6 +5,7 @@
 import * as health from '../health.js';
 import * as quarantine from '../quarantine.js';
 import * as requestAttempt from '../requestAttempt.js';
+import type * as requestState from '../requestState.js';
 import * as routerState from '../routerState.js';
 import * as serviceState from '../serviceState.js';
 import * as slots from '../slots.js';
@@ -184,6 +185,13 @@
   },
 });
 
+/** Returns whether a status is a failure; only a success can continue an answer that has begun. */
+const isFailure = (request: requestState.RequestState, status: number): boolean =>
+  status >=
+  (request.forwardedAttempt === null
+    ? routedState.FIRST_FAILURE_STATUS
+    : routedState.FIRST_UNUSABLE_STATUS);
+
 /**
  * Handles the head of an answer: retries a failure, sends a request with an answer of low confidence to a better
  * model, and otherwise forwards the answer.
@@ -198,7 +206,7 @@
   }
   const { request, routed, attempt } = target;
   const elapsedMs = event.nowMs - attempt.startedAtMs;
-  if (event.head.status >= routedState.FIRST_FAILURE_STATUS) {
+  if (isFailure(request, event.head.status)) {
     const withEvidence = recordEvidence(current, target, null, event.nowMs);
     return transition.composeTransition(
       transition.makeTransition(withEvidence, describeFailure(target, event)),
--- a/packages/core/src/routed/routedState.ts
+++ b/packages/core/src/routed/routedState.ts
@@ -55,6 +55,8 @@
 
 /** Lowest HTTP status that counts as a failure of the upstream. */
 export const FIRST_FAILURE_STATUS = 500;
+/** Lowest HTTP status that cannot continue an answer which has begun. */
+export const FIRST_UNUSABLE_STATUS = 300;
 
 /** Estimates the number of output tokens of a routed request. */
 export const estimateTokensOut = (call: RoutedCall): number =>
