--- a/packages/router/src/routed/routedAttempt.ts
+++ b/packages/router/src/routed/routedAttempt.ts
@@ -105,7 +105,6 @@
   let isClosed = false;
   let isStarted = false;
   let isCancelled = false;
-  let isPaused = false;
   let controller: undici.Dispatcher.DispatchController | null = null;
   let head: { status: number; headers: platform.callHeaders.ParsedHeaders } | null = null;
   let buffered: Buffer[] = [];
@@ -116,6 +115,7 @@
   let lastEventAtMs = 0;
   let timer: NodeJS.Timeout | null = null;
   let timeoutCount = 0;
+  let isPaused = false;
 
   const closeAttempt = (): void => {
     if (!isClosed) {
@@ -166,22 +166,24 @@
       timer = setTimeout(() => barrier.run(handleTimeout), timeoutMs);
     }
   };
-  /** Lets a paused upstream continue; its silence counts from now. */
-  const resumeReading = (): void => {
-    isPaused = false;
-    if (!isClosed) {
-      restartTimeout(send.gapTimeoutMs);
-      controller?.resume();
-    }
-  };
-  /** Applies backpressure: pauses the upstream while the caller's buffer is full, which bounds memory. */
+  /**
+   * Applies backpressure: pauses the upstream while the caller's buffer is full, which bounds memory. A paused upstream
+   * cannot be heard, so it does not count as silent.
+   */
   const writeEvent = (bytes: Buffer): void => {
-    if (!pending.response.write(bytes) && !isPaused) {
-      isPaused = true;
-      stopTimer();
-      controller?.pause();
-      pending.response.once('drain', resumeReading);
+    if (pending.response.write(bytes) || isPaused) {
+      return;
     }
+    isPaused = true;
+    controller?.pause();
+    stopTimer();
+    pending.response.once('drain', () => {
+      isPaused = false;
+      controller?.resume();
+      if (!isClosed) {
+        restartTimeout(send.gapTimeoutMs);
+      }
+    });
   };
   /** Forwards complete events. Events already forwarded are skipped, and a gap in the ids fails the attempt. */
   const forwardEvents = (bytes: Buffer): void => {
@@ -296,7 +298,7 @@
     }
     if (send.isStream && isSuccess(head.status)) {
       if (splitter.countBufferedBytes() > 0) {
-        abortAndFail('garbage', 'the answer ends within an event');
+        abortAndFail('broken', 'the answer ends within an event');
         return;
       }
     } else {
