--- a/packages/core/__tests__/routed.spec.ts
+++ b/packages/core/__tests__/routed.spec.ts
@@ -416,6 +416,9 @@
   t.is(findRefusal(routedFixtures.sendCall(driver, 'late')), 'routerStopping');
 });
 
+const listAttemptIds = (effects: readonly core.effects.Effect[]): readonly number[] =>
+  fixtures.pickEffects(effects, 'startAttempt').map((effect) => effect.attemptId);
+
 /** Starts a stream and forwards its head; returns the id of its attempt. */
 const startStream = (driver: fixtures.Driver): number => {
   routedFixtures.sendCall(driver, 'a', { path: '/talk/' });
@@ -465,3 +468,52 @@
   const freed = driver.send({ ...ended, attemptId: second?.id ?? -1 }, lateMs + 100);
   t.deepEqual(listStarts(freed), [other]);
 });
+
+test('the rest of an answer stays on an unreachable upstream if no other one has capacity', (t) => {
+  const driver = routedFixtures.makeRoutedDriver(['u1', 'u2']);
+  startStream(driver);
+  const [first] = driver.getState().requests.get('a')?.attempts ?? [];
+  const { upstreamId = '' } = first ?? {};
+  ['u1', 'u2'].forEach((id) =>
+    driver.send({ type: 'hostChanged', host: routedFixtures.makeHost(id, { slots: 1 }) }),
+  );
+  const busy = routedFixtures.sendCall(driver, 'b', { path: '/talk/' });
+  t.not(listStarts(busy)[0], upstreamId);
+  const effects = driver.send({ type: 'reachabilityObserved', upstreamId, isReachable: false });
+  t.deepEqual(fixtures.pickEffects(effects, 'cancelAttempt'), []);
+  t.deepEqual(driver.getState().requests.get('a')?.attempts, [first]);
+});
+
+test('attempts stay on an upstream that refuses new connections', (t) => {
+  const driver = routedFixtures.makeRoutedDriver(['u1', 'u2']);
+  startStream(driver);
+  const [first] = driver.getState().requests.get('a')?.attempts ?? [];
+  const { upstreamId = '' } = first ?? {};
+  const observed = { type: 'reachabilityObserved', upstreamId, isReachable: false } as const;
+  const effects = driver.send({ ...observed, isRefused: true });
+  t.deepEqual(fixtures.pickEffects(effects, 'cancelAttempt'), []);
+  t.is(fixtures.pickEffects(effects, 'dropUnsent').length, 1);
+  t.not(listStarts(routedFixtures.sendCall(driver, 'b', { path: '/talk/' }))[0], upstreamId);
+});
+
+test('only a success can continue an answer that has begun', (t) => {
+  const driver = routedFixtures.makeRoutedDriver(['u1', 'u2', 'u3']);
+  const attemptId = startStream(driver);
+  const [next] = listAttemptIds(driver.send(routedFixtures.makeFailure('a', attemptId)));
+  const head = { status: 400, confidence: null };
+  const rejected = driver.send({
+    type: 'routedHeadArrived',
+    requestId: 'a',
+    attemptId: next ?? -1,
+    head,
+  });
+  t.is(fixtures.pickEffects(rejected, 'forwardAnswer').length, 0);
+  const [last] = listAttemptIds(rejected);
+  const ended = driver.send({
+    type: 'routedHeadArrived',
+    requestId: 'a',
+    attemptId: last ?? -1,
+    head,
+  });
+  t.is(findRefusal(ended), 'answerIncomplete');
+});
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -168,7 +168,12 @@
   /** Another router knows something about requests that crash upstreams. */
   readonly guardNewsReceived: { readonly news: guardNews.GuardNews };
   /** Whether an upstream accepts connections from this router. */
-  readonly reachabilityObserved: { readonly upstreamId: string; readonly isReachable: boolean };
+  readonly reachabilityObserved: {
+    readonly upstreamId: string;
+    readonly isReachable: boolean;
+    /** True if its host refused the connection; connections that are open still work then. */
+    readonly isRefused?: boolean;
+  };
   readonly canaryObserved: {
     readonly order: canaryState.RolloutOrder;
     readonly stage: canaryState.CanaryStage;
--- a/packages/core/src/routed/routedAnswers.ts
+++ b/packages/core/src/routed/routedAnswers.ts
@@ -4,6 +4,7 @@
 import type * as events from '../events.js';
 import * as health from '../health.js';
 import * as requestAttempt from '../requestAttempt.js';
+import type * as requestState from '../requestState.js';
 import * as routerState from '../routerState.js';
 import * as serviceState from '../serviceState.js';
 import * as slots from '../slots.js';
@@ -192,6 +193,13 @@
   },
 });
 
+/** Returns whether a status is a failure; only a success can continue an answer that has begun. */
+const isFailure = (request: requestState.RequestState, status: number): boolean =>
+  status >=
+  (request.forwardedAttempt === null
+    ? routedState.FIRST_FAILURE_STATUS
+    : routedState.FIRST_UNUSABLE_STATUS);
+
 /**
  * Handles the head of an answer: retries a failure, sends a request with an answer of low confidence to a better
  * model, and otherwise forwards the answer.
@@ -206,7 +214,7 @@
   }
   const { request, routed, attempt } = target;
   const elapsedMs = event.nowMs - attempt.startedAtMs;
-  if (event.head.status >= routedState.FIRST_FAILURE_STATUS) {
+  if (isFailure(request, event.head.status)) {
     const withEvidence = recordEvidence(current, target, null, event.nowMs);
     return transition.composeTransition(
       transition.makeTransition(withEvidence, describeFailure(target, event)),
@@ -397,18 +405,21 @@
     )
     .filter((target) => target !== null);
 
-/** Records an upstream's reachability; moves attempts off an unreachable one and queued requests to a reachable one. */
+/**
+ * Records an upstream's reachability; moves attempts off an unreachable one and queued requests to a reachable one.
+ * One that refuses new connections still answers on those that are open.
+ */
 const handleReachabilityObserved = (
   current: routerState.RouterState,
   event: events.EventOf<'reachabilityObserved'>,
 ): transition.Transition => {
-  const { upstreamId, isReachable } = event;
+  const { upstreamId, isReachable, isRefused = false } = event;
   const updated = transition.makeTransition(
     routerState.updateUpstream(current, upstreamId, (upstream) => ({ ...upstream, isReachable })),
     {
       type: 'log',
       message: 'upstream reachability changed',
-      fields: { upstream: upstreamId, isReachable },
+      fields: { upstream: upstreamId, isReachable, isRefused },
     },
   );
   return isReachable
@@ -418,7 +429,9 @@
     : listAttempts(current, upstreamId).reduce(
         (done, target) =>
           transition.composeTransition(done, (next) =>
-            routedRetry.rerouteAttempt(next, target, event),
+            isRefused
+              ? routedRetry.rerouteUnsent(next, target)
+              : routedRetry.rerouteAttempt(next, target, event),
           ),
         updated,
       );
