fix(router): a stop does not wait for calls of other routers

Processes stayed until the platform killed them at the end of the grace period, although all their requests were answered.

Cause: the listener for other routers was closed gracefully: it waits for connections on which a call has begun. A router on the other side of a cut never ends it.

A stop now closes the connections of all listeners, as it did for callers' and for the ready and status listeners.

Before: with an unfinished call open, a stop without requests takes over a minute (lostAnswers.spec.ts). After: under 3.5 s.

--- a/packages-private/measure/__tests__/lostAnswers.spec.ts
+++ b/packages-private/measure/__tests__/lostAnswers.spec.ts
@@ -151,6 +151,16 @@
   },
 );
 
+test.serial('a stop does not wait for calls of other routers', async (t) => {
+  const site = await startSite(t, '127.0.47.12');
+  const peer = await connectRaw('127.0.47.12:7402');
+  peer.socket.write('POST /rpc HTTP/1.1\r\nhost: x\r\ncontent-length: 10\r\n\r\n');
+  await standIns.control.wait(50);
+  const startedAtMs = performance.now();
+  await site.running.stop();
+  t.true(performance.now() - startedAtMs < REMOVAL_MS + 500);
+});
+
 test.serial('a stop waits for a request whose body is still being read', async (t) => {
   const site = await startSite(t, '127.0.47.3');
   const caller = await connectRaw(site.callers);
--- a/packages/router/src/routed/startRoutedRouter.ts
+++ b/packages/router/src/routed/startRoutedRouter.ts
@@ -276,7 +276,11 @@
     parts.peers.stop();
     parts.loop.stop();
     parts.barrier.stop();
-    callers?.server.closeAllConnections();
+    // A call of a router that cannot be reached any more would keep its connection, and the process, open.
+    listeners.forEach(({ server }) => {
+      server.close();
+      server.closeAllConnections();
+    });
     await Promise.all(listeners.map((server) => server.close()));
     await Promise.all([parts.pools.close(), parts.client.close(), source.stop()]);
   };
