--- a/packages/router/src/callers/callerConnections.ts
+++ b/packages/router/src/callers/callerConnections.ts
@@ -23,8 +23,6 @@
    * of the event loop no further input has been read.
    */
   readonly waitAnswered: (isOver: () => boolean) => Promise<void>;
-  /** Returns whether the listener was closed by `drain`. */
-  readonly isDraining: () => boolean;
 }
 
 /** What happens to a request that was read. */
@@ -174,6 +172,5 @@
         });
       } while (!isAnswered() && !isOver());
     },
-    isDraining: () => isDraining,
   };
 };
--- a/packages/router/src/routed/routedRunners.ts
+++ b/packages/router/src/routed/routedRunners.ts
@@ -114,6 +114,14 @@
           detectCrash(context, upstreamId, address, fingerprint);
         }
       },
+      handleSilence: () => {
+        context.metrics.countFailure('silent');
+        context.log.warn(
+          { requestId: pending.callerRequestId, upstream: upstreamId, attempt: attemptId },
+          'answer paused',
+        );
+        context.runtime.dispatch({ type: 'routedAttemptSilent', requestId, attemptId });
+      },
       detectOverdue: () =>
         core.overdueSend.detectOverdue(
           context.runtime.getState(),
@@ -189,6 +197,19 @@
   routedServer.writeRefusal(pending.response, status, effect.code, effect.retryAfterMs);
 };
 
+/** Refuses a request that a stopping router does not start; another router can take it at once. */
+export const refuseLate = (
+  context: RoutedRunnerContext,
+  pending: pendingRoutedRequest.PendingRoutedRequest,
+): void =>
+  refuse(context, pending, {
+    type: 'refuse',
+    requestId: pending.id,
+    code: 'routerStopping',
+    notRun: true,
+    retryAfterMs: 0,
+  });
+
 /** Creates the runners of routed requests' effects. */
 export const makeRoutedRunners = (context: RoutedRunnerContext): routerRuntime.EffectRunners => {
   const withPending = (
--- a/packages/router/src/routed/routedServer.ts
+++ b/packages/router/src/routed/routedServer.ts
@@ -18,6 +18,10 @@
   readonly maxTableAgeMs: number;
   /** Confirms the table now; resolves to false if the source does not answer. */
   readonly refreshTable: () => Promise<boolean>;
+  /** Returns whether a new request may still be started: it has to be finished before the router has stopped. */
+  readonly mayStart: () => boolean;
+  /** Refuses a request that is no longer started because the router is stopping. */
+  readonly refuseLate: (pending: pendingRoutedRequest.PendingRoutedRequest) => void;
   /** Ends a request whose caller left before the request was dispatched. */
   readonly endAbandoned: (pending: pendingRoutedRequest.PendingRoutedRequest) => void;
 }
@@ -40,7 +44,6 @@
 const REFRESH_WAIT_MS = 60;
 const BAD_REQUEST_STATUS = 400;
 const TOO_LARGE_STATUS = 413;
-const STOPPING_STATUS = 503;
 
 /** Writes a refusal by the router itself, which has no upstream's signature. */
 export const writeRefusal = (
@@ -122,7 +125,6 @@
   const { limits } = context.runtime.getState().routed.routeIndex ?? { limits: context.limits };
   const readAtMs = performance.now();
   const arrivedAtMs = context.connections.getArrivalMs(request.socket);
-  const isRefused = context.connections.isDraining();
   const body = await readBody(request, limits.maxBodyBytes).catch(() => null);
   if (response.destroyed || response.headersSent) {
     return;
@@ -131,10 +133,6 @@
     writeRefusal(response, TOO_LARGE_STATUS, 'bodyTooLarge', null);
     return;
   }
-  if (isRefused) {
-    writeRefusal(response, STOPPING_STATUS, 'routerStopping', 0);
-    return;
-  }
   const call = platform.callHeaders.readCallHeaders(request.headers);
   const pending: pendingRoutedRequest.PendingRoutedRequest = {
     id: shared.requestId.makeRequestId(),
@@ -159,7 +157,13 @@
     await Promise.race([context.refreshTable(), shared.delay.wait(REFRESH_WAIT_MS)]);
   }
   context.connections.admit(response, {
-    start: () => dispatchArrival(context, pending),
+    start: () => {
+      if (context.mayStart()) {
+        dispatchArrival(context, pending);
+      } else {
+        context.refuseLate(pending);
+      }
+    },
     abandon: () => context.endAbandoned(pending),
     handleGone: () => {
       if (context.pending.has(pending.id)) {
--- a/packages/router/src/routed/startRoutedRouter.ts
+++ b/packages/router/src/routed/startRoutedRouter.ts
@@ -29,7 +29,9 @@
 const CONFIRMATION_AGE_SHARE = 0.78;
 /** Share of the same bound after which the router reports itself as not ready to the load balancer. */
 const READY_AGE_SHARE = 0.7;
-/** Time within which the load balancer removes a stopping router, in milliseconds. */
+/** Time after the stop signal in which requests are started, in milliseconds: two failed readiness checks. */
+const START_MS = 2_500;
+/** Time after the stop signal after which the listener is closed, in milliseconds. */
 const BALANCER_REMOVAL_MS = 3_000;
 /** Share of the grace period after which all requests in flight are refused. */
 const ANSWER_SHARE = 0.95;
@@ -184,10 +186,11 @@
   parts: RoutedRouterParts,
   settings: shared.settings.Settings,
   platform: RoutedPlatform,
-  isLeaving: () => boolean,
+  getStopAgeMs: () => number | null,
 ): Promise<readonly fastify.FastifyInstance[]> => {
   const { runtime, clock, source } = parts;
   const maxReadyAgeMs = platform.bounds.revocationMs * READY_AGE_SHARE;
+  const isLeaving = (): boolean => getStopAgeMs() !== null;
   const isReady = (): boolean =>
     !isLeaving() &&
     runtime.getState().routed.routeIndex !== null &&
@@ -201,6 +204,8 @@
     endAbandoned: (pending) => routedRunners.endAbandoned(parts, pending),
     maxTableAgeMs: platform.bounds.revocationMs * CONFIRMATION_AGE_SHARE,
     refreshTable: source.refresh,
+    mayStart: () => (getStopAgeMs() ?? 0) <= START_MS,
+    refuseLate: (pending) => routedRunners.refuseLate(parts, pending),
     limits: {
       maxBodyBytes: settings.limits.maxBodyBytes,
       headersTimeoutMs: settings.limits.headersTimeoutMs,
@@ -221,6 +226,24 @@
   return [callers, readiness, peers, metrics];
 };
 
+/** Logs a request that the end of the grace period cuts off. */
+const logCutRequest = (
+  log: pino.Logger,
+  request: pendingRoutedRequest.PendingRoutedRequest,
+  stoppedAtMs: number,
+): void =>
+  log.warn(
+    {
+      requestId: request.callerRequestId,
+      readMs: Math.round(request.readAtMs - stoppedAtMs),
+      heldMs: Math.round(performance.now() - request.readAtMs),
+      hasBegun: request.isHeadWritten,
+      attempts: request.attempts.size,
+      sends: request.sends,
+    },
+    'request cut off',
+  );
+
 /**
  * Unregisters the router, waits until the load balancer has removed it, and then until the requests that were read are
  * answered. Those that are still waiting near the end of the grace period are refused.
@@ -228,18 +251,19 @@
 const drainRequests = async (
   { runtime, pending, source, log, connections }: RoutedRouterParts,
   callers: fastify.FastifyInstance,
+  stoppedAtMs: number,
   graceMs: number,
 ): Promise<void> => {
-  const startedAtMs = performance.now();
   const isAfter = (share: number) => (): boolean =>
-    performance.now() - startedAtMs > graceMs * share;
+    performance.now() - stoppedAtMs > graceMs * share;
   log.info({ running: pending.size }, 'router stopping');
   connections.release();
   source.leave().catch((error: unknown) => log.warn({ error }, 'router registration not removed'));
-  await shared.delay.wait(BALANCER_REMOVAL_MS);
+  await shared.delay.wait(BALANCER_REMOVAL_MS - (performance.now() - stoppedAtMs));
   connections.drain(callers.server);
   await connections.waitAnswered(isAfter(ANSWER_SHARE));
-  log.info({ refused: pending.size }, 'router stopped');
+  pending.forEach((request) => logCutRequest(log, request, stoppedAtMs));
+  log.info({ cut: pending.size }, 'router stopped');
   runtime.dispatch({ type: 'stopExpired' });
   await connections.waitAnswered(isAfter(WRITE_SHARE));
 };
@@ -252,8 +276,10 @@
 ): Promise<RunningRoutedRouter> => {
   const parts = makeParts(settings, platform, baseDir);
   const { runtime, log, source } = parts;
-  let isLeaving = false;
-  const listeners = await openListeners(parts, settings, platform, () => isLeaving);
+  let stoppedAtMs: number | null = null;
+  const listeners = await openListeners(parts, settings, platform, () =>
+    stoppedAtMs === null ? null : performance.now() - stoppedAtMs,
+  );
   const [callers] = listeners;
   await source.start();
   const ticks = setInterval(() => runtime.dispatch({ type: 'ticked' }), TICK_MS);
@@ -286,9 +312,10 @@
   };
   return {
     stop: async () => {
-      isLeaving = true;
+      // The signal may have waited for a long turn of the event loop, like any other input.
+      stoppedAtMs = performance.now() - parts.loop.getInputAgeMs();
       if (callers !== undefined) {
-        await drainRequests(parts, callers, platform.bounds.graceMs);
+        await drainRequests(parts, callers, stoppedAtMs, platform.bounds.graceMs);
       }
       await close();
     },
