fix(router): an answer that ends with its connection while it is paused does not end the router

What callers saw: the router's process ended, with all its connections, when a stream had neither a length nor chunks, its caller read more slowly than the server wrote, and the server closed the connection.

Cause: the router pauses the upstream while the caller's buffer is full.

The socket reports its end only once all bytes have been handed on, so a pause is pointless by then: the answer is now resumed before the library handles the end. connectionPools knows which request a connection serves, since each client of a pool serves one at a time. The bytes that were forwarded stay in the caller's buffer as before.

--- a/packages/router/src/routed/routedAttempt.ts
+++ b/packages/router/src/routed/routedAttempt.ts
@@ -329,7 +329,8 @@
         headers: makeHeaders(),
         body: pending.body.length === 0 ? null : pending.body,
         idempotent: false,
-      },
+        onConnectionEnd: () => controller?.resume(),
+      } as connectionPools.PausableOptions,
       {
         onRequestStart: (started) => {
           controller = started;
--- a/packages/router/src/upstreams/connectionPools.ts
+++ b/packages/router/src/upstreams/connectionPools.ts
@@ -23,6 +23,15 @@
   readonly close: () => Promise<void>;
 }
 
+/** Options of a request whose answer may be paused. */
+export interface PausableOptions extends undici.Dispatcher.DispatchOptions {
+  /**
+   * Called before the library handles the end of the connection, when all bytes have been handed on. A paused answer
+   * has to be resumed then, since the library fails at the end of one that is paused and has no length.
+   */
+  readonly onConnectionEnd?: () => void;
+}
+
 type Connector = ReturnType<typeof undici.buildConnector>;
 
 /** Tracks the connection that closes in the current turn of the event loop, if any. */
@@ -77,11 +86,36 @@
     });
 };
 
+/** Opens the client of one connection, which serves one request at a time. */
+const openClient = (origin: URL, options: undici.Client.Options): undici.Client => {
+  const { connect } = options;
+  let current: PausableOptions | null = null;
+  const client = new undici.Client(origin, {
+    ...options,
+    connect: (target, done) => {
+      if (typeof connect === 'function') {
+        connect(target, (...result) => {
+          const [, socket] = result;
+          socket?.on('end', () => current?.onConnectionEnd?.());
+          done(...result);
+        });
+      }
+    },
+  });
+  const dispatch = client.dispatch.bind(client);
+  client.dispatch = (request, handler) => {
+    current = request;
+    return dispatch(request, handler);
+  };
+  return client;
+};
+
 const openPool = (address: string, localAddress: string, connect: Connector): undici.Pool =>
   new undici.Pool(`http://${address}`, {
     connections: MAX_CONNECTIONS,
     localAddress,
     connect,
+    factory: openClient,
     keepAliveTimeout: KEEP_ALIVE_MS,
     headersTimeout: 0,
     bodyTimeout: 0,
