fix(router): an answer that is reset while it is paused does not end the router

Cause: the HTTP library takes ECONNRESET for the end of an answer without a length, and asserts in the same place that it isn't paused. Here a resume wouldn't do: the reset may have come before bytes that the router holds were handed on, and the answer isn't complete in any case.

A reset now gets another error code before the library sees it, so the library fails the answer, paused or not. The router's own check for resets (`wasReset`) is left for the other case, a reset that arrives together with the last bytes and that the event loop reports as an end.

--- a/packages-private/measure/__tests__/pausedAnswers.spec.ts
+++ b/packages-private/measure/__tests__/pausedAnswers.spec.ts
@@ -74,7 +74,7 @@
 /** Mark of the end of an answer in chunks. */
 const LAST_CHUNK = '\r\n0\r\n\r\n';
 
-const ENDS: readonly ('close' | 'reset')[] = ['close'];
+const ENDS = ['close', 'reset'] as const;
 
 ENDS.forEach((end, index) =>
   test.serial(
--- a/packages/router/src/upstreams/connectionPools.ts
+++ b/packages/router/src/upstreams/connectionPools.ts
@@ -16,8 +16,8 @@
   /** Replaces the pool of an address, because its open connections may be dead. */
   readonly renew: (address: string) => void;
   /**
-   * Returns whether the connection of the answer that is just ending was reset. For an answer without a
-   * length, the HTTP libraries treat a reset as its normal end; only this check distinguishes the two.
+   * Returns whether the connection of the answer that is just ending was reset. A reset that arrives together with the
+   * last bytes of an answer without a length looks like its normal end; only this check distinguishes the two.
    */
   readonly wasReset: () => boolean;
   readonly close: () => Promise<void>;
@@ -34,12 +34,27 @@
 
 type Connector = ReturnType<typeof undici.buildConnector>;
 
-/** Tracks the connection that closes in the current turn of the event loop, if any. */
+/** Tracks the connection that ends in the current turn of the event loop, if any. */
 interface ClosingConnection {
-  readonly record: (socket: net.Socket, hasFailed: boolean) => void;
+  readonly record: (socket: net.Socket) => void;
   readonly wasReset: () => boolean;
 }
 
+/** Code of an error that the library takes for the end of an answer without a length. */
+const RESET_CODE = 'ECONNRESET';
+/** Code with which the library fails the answer. */
+const BROKEN_CODE = 'EPIPE';
+
+/**
+ * Makes the library fail an answer whose connection was reset: it would take the reset for the end of an answer without
+ * a length, and would fail itself while such an answer is paused.
+ */
+const markBroken = (error: NodeJS.ErrnoException): void => {
+  if (error.code === RESET_CODE) {
+    Object.assign(error, { code: BROKEN_CODE });
+  }
+};
+
 /** Empty line, which servers ignore before a request line. */
 const EMPTY_LINE = '\r\n';
 
@@ -56,15 +71,15 @@
 };
 
 const makeClosingConnection = (): ClosingConnection => {
-  let closing: { readonly socket: net.Socket; readonly hasFailed: boolean } | null = null;
+  let closing: net.Socket | null = null;
   return {
-    record: (socket, hasFailed) => {
-      closing = { socket, hasFailed };
+    record: (socket) => {
+      closing = socket;
       queueMicrotask(() => {
         closing = null;
       });
     },
-    wasReset: () => closing !== null && (closing.hasFailed || isReset(closing.socket)),
+    wasReset: () => closing !== null && isReset(closing),
   };
 };
 
@@ -80,8 +95,8 @@
   return (options, done) =>
     connect(options, (...result) => {
       const [, socket] = result;
-      socket?.on('error', () => closing.record(socket, true));
-      socket?.on('end', () => closing.record(socket, false));
+      socket?.on('error', markBroken);
+      socket?.on('end', () => closing.record(socket));
       barrier.run(() => done(...result));
     });
 };
