fix(router): a stop does not cut off requests that follow one another on a connection

Callers that send requests on a connection without waiting for the answers got only the first of them from a stopping router; the others had been passed on to upstreams, and their connection ended.

Cause: a stopping router announced "connection: close" with each answer. Node.js ends a connection with the first answer that announces it, and drops those behind it.

The announcement now comes with the last request that was read on a connection. A request that follows an answer which has announced the end already is not started, since it cannot be answered.

Before: of three requests on one connection, read before or during the stop, all reach the upstream and one is answered; a request after the announced last answer reaches an upstream.

--- a/packages/router/src/callers/callerConnections.ts
+++ b/packages/router/src/callers/callerConnections.ts
@@ -29,7 +29,7 @@
 export interface AdmissionHandlers {
   /** Starts the request: its caller still waits. */
   readonly start: () => void;
-  /** Drops the request: its caller left before it was started. */
+  /** Drops the request: its caller left before it was started, or cannot get its answer on this connection. */
   readonly abandon: () => void;
   /** Called once if the caller leaves after the start and before the response has ended. */
   readonly handleGone: () => void;
@@ -90,6 +90,19 @@
     });
     connections.set(socket, connection);
   };
+  /**
+   * Ends a connection with the last answer that it waits for: one before it would cut off those after it. An answer
+   * whose head is written has announced whether it is the last.
+   */
+  const releaseConnection = ({ unwritten }: CallerConnection): void => {
+    const responses = Array.from(unwritten);
+    const last = responses.at(-1);
+    responses
+      .filter(({ headersSent }) => !headersSent)
+      .forEach((response) => {
+        response.shouldKeepAlive = response !== last;
+      });
+  };
   const followRequest = ({ socket }: http.IncomingMessage, response: http.ServerResponse): void => {
     const connection = connections.get(socket);
     if (connection === undefined) {
@@ -97,7 +110,7 @@
     }
     connection.unwritten.add(response);
     if (isReleasing) {
-      response.shouldKeepAlive = false;
+      releaseConnection(connection);
     }
     response.once('close', () => {
       connection.unwritten.delete(response);
@@ -112,6 +125,11 @@
   // A pipelined request's response has no socket of its own yet, its request has.
   const isClosed = ({ destroyed, req }: http.ServerResponse): boolean =>
     destroyed || req.socket.destroyed || connections.get(req.socket)?.isClosed === true;
+  /** Returns whether an answer before this one has announced that it is the connection's last. */
+  const isCutOff = (response: http.ServerResponse): boolean =>
+    Array.from(connections.get(response.req.socket)?.unwritten ?? []).some(
+      (other) => other !== response && other.headersSent && !other.shouldKeepAlive,
+    );
   const watchClose = (response: http.ServerResponse, handleGone: () => void): void => {
     const handlers = connections.get(response.req.socket)?.handlers;
     // The end of the input and the response's `close` may both come; the first one counts.
@@ -143,7 +161,7 @@
     },
     admit: (response, handlers) =>
       barrier.run(() => {
-        if (isClosed(response)) {
+        if (isClosed(response) || isCutOff(response)) {
           handlers.abandon();
           return;
         }
@@ -152,11 +170,7 @@
       }),
     release: () => {
       isReleasing = true;
-      connections.forEach(({ unwritten }) =>
-        unwritten.forEach((response) => {
-          response.shouldKeepAlive = false;
-        }),
-      );
+      connections.forEach(releaseConnection);
     },
     drain: (server) => {
       isDraining = true;
