fix(router): a stop during the start answers what was read

Callers that had connected to a starting router got no answer when it was stopped: their connections ended at once.

Cause: a process that got SIGTERM before its start had ended exited in the handler. The start ends when the source has been read, which takes as long as the store does not answer, but callers' requests are read from the opening of the listener on. lostAnswers.spec.ts "a request that was read before a router has started gets an answer" failed in one of four runs beside load (load average 7): it sends SIGTERM 20 ms after the request, and passed only if the refusal was written by then.

The router is now handed over before its listeners open, and is stopped like any other: late requests are refused, and it ends when all that was read is answered. A signal that comes before that still ends the process at once, and nothing was read then. SIGHUP during the start is applied as well; it was dropped.

Before: a request whose body is still on its way at SIGTERM during the start gets nothing, in two of two runs of the process (exit 0.11 s after the connection).

--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -54,15 +54,25 @@
   }
 };
 
+/** Starts a router; `handleRouter` gets it as soon as it may have read requests, so that a stop answers them. */
 const start = async (
   settings: shared.settings.Settings,
   baseDir: string,
-): Promise<shared.outcome.Outcome<RunningRouter, readonly shared.jsonc.FileProblem[]>> =>
-  settings.platform.kind === 'managed' || settings.platform.kind === 'routes'
-    ? shared.outcome.makeOk(
-        await startRoutedRouter.startRoutedRouter(settings, settings.platform, baseDir),
-      )
-    : startRouter.startRouter(settings, settings.platform, baseDir);
+  handleRouter: (router: RunningRouter) => void,
+): Promise<readonly shared.jsonc.FileProblem[]> => {
+  if (settings.platform.kind === 'managed' || settings.platform.kind === 'routes') {
+    const opened = startRoutedRouter.openRoutedRouter(settings, settings.platform, baseDir);
+    handleRouter(opened.router);
+    await opened.started;
+    return [];
+  }
+  const started = await startRouter.startRouter(settings, settings.platform, baseDir);
+  if (!started.ok) {
+    return started.error;
+  }
+  handleRouter(started.value);
+  return [];
+};
 
 const serve = async (
   settings: shared.settings.Settings,
@@ -92,12 +102,12 @@
   fs.watchFile(file, { interval: SETTINGS_POLL_MS, persistent: false }, () =>
     replaceSettings(running, file),
   );
-  const started = await start(settings, baseDir);
-  if (started.ok) {
-    running = started.value;
-  } else {
+  const problems = await start(settings, baseDir, (router) => {
+    running = router;
+  });
+  if (problems.length > 0) {
     fs.unwatchFile(file);
-    failWith(started.error);
+    failWith(problems);
   }
 };
 
--- a/packages/router/src/routed/startRoutedRouter.ts
+++ b/packages/router/src/routed/startRoutedRouter.ts
@@ -268,48 +268,72 @@
   await connections.waitAnswered(isAfter(WRITE_SHARE));
 };
 
-/** Starts a router that serves a route table; table and upstreams come from a store or from files. */
-export const startRoutedRouter = async (
+/** A router that is starting. */
+export interface StartingRoutedRouter {
+  /** The router, which can be stopped from now on. */
+  readonly router: RunningRoutedRouter;
+  /** Resolves once the router reads its source, or has been closed. */
+  readonly started: Promise<void>;
+}
+
+/**
+ * Opens a router that serves a route table; table and upstreams come from a store or from files. Callers are answered
+ * from the moment at which it listens, so a stop during the start answers them too.
+ */
+export const openRoutedRouter = (
   settings: shared.settings.Settings,
   platform: RoutedPlatform,
   baseDir = '.',
-): Promise<RunningRoutedRouter> => {
+): StartingRoutedRouter => {
   const parts = makeParts(settings, platform, baseDir);
   const { runtime, log, source } = parts;
   let stoppedAtMs: number | null = null;
-  const listeners = await openListeners(parts, settings, platform, () =>
+  let isClosed = false;
+  let stopFeeds = (): void => undefined;
+  const opened = openListeners(parts, settings, platform, () =>
     stoppedAtMs === null ? null : performance.now() - stoppedAtMs,
   );
-  const [callers] = listeners;
-  await source.start();
-  const ticks = setInterval(() => runtime.dispatch({ type: 'ticked' }), TICK_MS);
-  const stopReports = canaryReports.startCanaryReports(runtime, parts.client);
-  runtime.dispatch({ type: 'probeDue' });
-  log.info(
-    { callers: settings.callers, routerId: runtime.getState().self.routerId },
-    'router started',
-  );
-
-  let isClosed = false;
+  const startFeeds = async (): Promise<void> => {
+    await opened;
+    if (isClosed) {
+      return;
+    }
+    await source.start();
+    if (isClosed) {
+      return;
+    }
+    const ticks = setInterval(() => runtime.dispatch({ type: 'ticked' }), TICK_MS);
+    const stopReports = canaryReports.startCanaryReports(runtime, parts.client);
+    stopFeeds = () => {
+      clearInterval(ticks);
+      stopReports();
+    };
+    runtime.dispatch({ type: 'probeDue' });
+    log.info(
+      { callers: settings.callers, routerId: runtime.getState().self.routerId },
+      'router started',
+    );
+  };
   const close = async (): Promise<void> => {
     if (isClosed) {
       return;
     }
     isClosed = true;
-    clearInterval(ticks);
-    stopReports();
+    const listeners = await opened;
+    stopFeeds();
     parts.reachability.stop();
     parts.peers.stop();
     parts.loop.stop();
     parts.barrier.stop();
-    callers?.server.closeAllConnections();
-    await Promise.all(listeners.map((server) => server.close()));
+    listeners[0]?.server.closeAllConnections();
+    await Promise.all(listeners.map((listener) => listener.close()));
     await Promise.all([parts.pools.close(), parts.client.close(), source.stop()]);
   };
-  return {
+  const router: RunningRoutedRouter = {
     stop: async () => {
       // The signal may have waited for a long turn of the event loop, like any other input.
       stoppedAtMs = performance.now() - parts.loop.getInputAgeMs();
+      const [callers] = await opened;
       if (callers !== undefined) {
         await drainRequests(parts, callers, stoppedAtMs, platform.bounds.graceMs);
       }
@@ -324,4 +348,16 @@
       }
     },
   };
+  return { router, started: startFeeds() };
+};
+
+/** Starts a router that serves a route table. */
+export const startRoutedRouter = async (
+  settings: shared.settings.Settings,
+  platform: RoutedPlatform,
+  baseDir = '.',
+): Promise<RunningRoutedRouter> => {
+  const { router, started } = openRoutedRouter(settings, platform, baseDir);
+  await started;
+  return router;
 };
--- a/packages/router/src/routed/storeSource.ts
+++ b/packages/router/src/routed/storeSource.ts
@@ -23,6 +23,7 @@
   const canaries = canaryRecords.makeCanaryRecords(runtime, store, log);
   let registration: peerFeed.PeerFeed | null = null;
   let operatorFeed: prefixFeed.PrefixFeed | null = null;
+  let isStopped = false;
   let feeds: readonly prefixFeed.PrefixFeed[] = [];
   const handleOwnKey = (key: string, value: string | null, revision: number): void => {
     registration?.handleChange(key, value);
@@ -67,6 +68,9 @@
       feeds = [ownFeed, hostFeed.startHostFeed(runtime, store, log)];
       // Roll-out records hold the progress of the orders, so they are read before the orders.
       await ownFeed.firstRead;
+      if (isStopped) {
+        return;
+      }
       operatorFeed = follow(
         { prefix: platform.wire.KEYS.operator, waitMs: OPERATOR_WAIT_MS, batchDelayMs: 0, clock },
         handleOperatorKey,
@@ -77,6 +81,7 @@
     leave: async () => registration?.leave(),
     countCalls: store.countCalls,
     stop: async () => {
+      isStopped = true;
       feeds.forEach((feed) => feed.stop());
       operatorFeed?.stop();
       registration?.stop();
