fix(router): an attempt that the router gives up is not reported as broken by its upstream

What was seen: all silent upstreams and answers that failed a check of validity were logged as "broken", with the router's own reason ("no answer within 2500 ms"); their ports were probed for a crash, an invalid answer counted against its upstream, and callers got 502 where 504 was due. Cause: the library reports an abort to the attempt before `abort` returns, so the error came before the failure. Change: the failure is recorded before the abort. Before and after (routedAttempt.spec.ts, whose stand-in of the library now reports aborts as the library does): broken; silent.

--- a/packages/router/__tests__/routedAttempt.spec.ts
+++ b/packages/router/__tests__/routedAttempt.spec.ts
@@ -1,6 +1,7 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import test from 'ava';
+import * as shared from '@jayrock/shared';
 import type * as undici from 'undici';
 import type * as inputBarrier from '../src/eventLoop/inputBarrier.js';
 import type * as pendingRoutedRequest from '../src/routed/pendingRoutedRequest.js';
@@ -32,8 +33,10 @@
     },
     open: () => {
       const controller = {
+        // As the library does, reports the error before it returns.
         abort: (error: Error) => {
           abortReason = error.message;
+          handler?.onResponseError?.(controller as undici.Dispatcher.DispatchController, error);
         },
       };
       handler?.onRequestStart?.(controller as undici.Dispatcher.DispatchController, null);
@@ -70,6 +73,7 @@
 const startAttempt = (
   pools: connectionPools.ConnectionPools,
   detectOverdue: () => string | null = () => null,
+  headTimeoutMs = Infinity,
 ): {
   readonly running: pendingRoutedRequest.RunningAttempt;
   readonly failures: routedAttempt.RoutedAttemptFailure[];
@@ -85,7 +89,7 @@
       address: '127.0.0.1:1',
       send: {
         timeLeftMs: 1_000,
-        headTimeoutMs: Infinity,
+        headTimeoutMs,
         gapTimeoutMs: Infinity,
         organisation: 'ada',
         model: null,
@@ -137,3 +141,14 @@
     { failure: 'overdue', isUnsent: true, isNotRun: true, reason: 'keyWithdrawn' },
   ]);
 });
+
+test('an upstream that gives no answer in time fails as silent, not as one that broke the connection', async (t) => {
+  const { pools, open } = makePools();
+  const { failures } = startAttempt(pools, () => null, 10);
+  t.is(open(), null);
+  await shared.delay.wait(50);
+  t.deepEqual(
+    failures.map(({ failure, isUnsent }) => ({ failure, isUnsent })),
+    [{ failure: 'silent', isUnsent: false }],
+  );
+});
--- a/packages/router/src/routed/routedAttempt.ts
+++ b/packages/router/src/routed/routedAttempt.ts
@@ -140,8 +140,9 @@
     }
   };
   const abortAndFail = (failure: core.events.RoutedFailure, reason: string): void => {
-    abort(reason);
+    // The library reports an abort as an error before it returns, so the failure is recorded first.
     fail({ failure, isUnsent: !isStarted, isNotRun: !isStarted, reason });
+    abort(reason);
   };
   /**
    * Restarts the timeout of the attempt. When it fires, and no input that had arrived restarts it, the pool of the
