--- a/packages-private/measure/__tests__/keptConnections.spec.ts
+++ b/packages-private/measure/__tests__/keptConnections.spec.ts
@@ -217,3 +217,14 @@
     t.is(response.body, standIns.routedUpstream.renderStream(200));
   });
 });
+
+test.serial('a request whose long body is over the limit gets its refusal', async (t) => {
+  const site = await startSite(t, '127.0.125.30');
+  const response = await site.call({
+    path: '/issue/',
+    id: 'q1',
+    method: 'POST',
+    body: 'x'.repeat(3_000_000),
+  });
+  t.is(response.status, 413);
+});
