--- a/packages/router/__tests__/routedAttempt.spec.ts
+++ b/packages/router/__tests__/routedAttempt.spec.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
+import * as platform from '@jayrock/platform';
 import test from 'ava';
 import * as shared from '@jayrock/shared';
 import type * as undici from 'undici';
@@ -12,6 +13,8 @@
   readonly pools: connectionPools.ConnectionPools;
   /** Opens the connection that the attempt waits for; returns why the attempt was aborted, or null. */
   readonly open: () => string | null;
+  /** Delivers a whole answer that has no bytes. */
+  readonly answer: (headers: Readonly<Record<string, string>>) => void;
 }
 
 /** Creates pools whose connections open only when the test calls `open`. */
@@ -42,6 +45,11 @@
       handler?.onRequestStart?.(controller as undici.Dispatcher.DispatchController, null);
       return abortReason;
     },
+    answer: (headers) => {
+      const controller = {} as undici.Dispatcher.DispatchController;
+      handler?.onResponseStart?.(controller, 200, headers);
+      handler?.onResponseEnd?.(controller, {});
+    },
   };
 };
 
@@ -73,12 +81,15 @@
 const startAttempt = (
   pools: connectionPools.ConnectionPools,
   detectOverdue: () => string | null = () => null,
+  isStream = false,
   headTimeoutMs = Infinity,
 ): {
   readonly running: pendingRoutedRequest.RunningAttempt;
   readonly failures: routedAttempt.RoutedAttemptFailure[];
+  readonly ends: routedAttempt.StreamSummary[];
 } => {
   const failures: routedAttempt.RoutedAttemptFailure[] = [];
+  const ends: routedAttempt.StreamSummary[] = [];
   const running = routedAttempt.startRoutedAttempt(
     pools,
     IMMEDIATE_BARRIER,
@@ -94,12 +105,12 @@
         organisation: 'ada',
         model: null,
         priority: 0,
-        isStream: false,
+        isStream,
       },
     },
     {
       handleHead: () => undefined,
-      handleEnd: () => undefined,
+      handleEnd: (stream) => ends.push(stream),
       handleFailure: (failure) => failures.push(failure),
       handleSilence: () => undefined,
       detectOverdue,
@@ -109,7 +120,7 @@
       handleLoad: () => undefined,
     },
   );
-  return { running, failures };
+  return { running, failures, ends };
 };
 
 test('dropping an attempt that waits for a connection fails it as unsent, and it is never sent', (t) => {
@@ -142,9 +153,23 @@
   ]);
 });
 
+test('a short answer that only its connection ends may have been cut by a crash, one with chunks was not', (t) => {
+  const H = platform.wire.HEADERS;
+  const headers = { [H.requestId]: 'a', [H.stamp]: 'stamp' };
+  const isCut = [headers, { ...headers, 'transfer-encoding': 'chunked' }].map((sent) => {
+    const { pools, open, answer } = makePools();
+    const { ends, failures } = startAttempt(pools, () => null, true);
+    open();
+    answer(sent);
+    t.deepEqual(failures, []);
+    return ends.map((end) => end.mayBeCut);
+  });
+  t.deepEqual(isCut, [[true], [false]]);
+});
+
 test('an upstream that gives no answer in time fails as silent, not as one that broke the connection', async (t) => {
   const { pools, open } = makePools();
-  const { failures } = startAttempt(pools, () => null, 10);
+  const { failures } = startAttempt(pools, () => null, false, 10);
   t.is(open(), null);
   await shared.delay.wait(50);
   t.deepEqual(
