--- a/packages/router/__tests__/routedAttempt.spec.ts
+++ b/packages/router/__tests__/routedAttempt.spec.ts
@@ -2,6 +2,7 @@
 import * as net from 'node:net';
 import * as platform from '@jayrock/platform';
 import test from 'ava';
+import * as shared from '@jayrock/shared';
 import type * as undici from 'undici';
 import type * as inputBarrier from '../src/eventLoop/inputBarrier.js';
 import type * as pendingRoutedRequest from '../src/routed/pendingRoutedRequest.js';
@@ -35,8 +36,10 @@
     },
     open: () => {
       const controller = {
+        // As the library does, reports the error before it returns.
         abort: (error: Error) => {
           abortReason = error.message;
+          handler?.onResponseError?.(controller as undici.Dispatcher.DispatchController, error);
         },
       };
       handler?.onRequestStart?.(controller as undici.Dispatcher.DispatchController, null);
@@ -79,6 +82,7 @@
   pools: connectionPools.ConnectionPools,
   detectOverdue: () => string | null = () => null,
   isStream = false,
+  headTimeoutMs = Infinity,
 ): {
   readonly running: pendingRoutedRequest.RunningAttempt;
   readonly failures: routedAttempt.RoutedAttemptFailure[];
@@ -96,7 +100,7 @@
       address: '127.0.0.1:1',
       send: {
         timeLeftMs: 1_000,
-        headTimeoutMs: Infinity,
+        headTimeoutMs,
         gapTimeoutMs: Infinity,
         organisation: 'ada',
         model: null,
@@ -162,3 +166,14 @@
   });
   t.deepEqual(isCut, [[true], [false]]);
 });
+
+test('an upstream that gives no answer in time fails as silent, not as one that broke the connection', async (t) => {
+  const { pools, open } = makePools();
+  const { failures } = startAttempt(pools, () => null, false, 10);
+  t.is(open(), null);
+  await shared.delay.wait(50);
+  t.deepEqual(
+    failures.map(({ failure, isUnsent }) => ({ failure, isUnsent })),
+    [{ failure: 'silent', isUnsent: false }],
+  );
+});
