fix(router): an answer that is reset while its request is still being sent is not complete

What callers saw: half of an answer as a complete success (200, with the server's stamp), if the server answered without a length before it had read a long body, and its connection was then reset, or its process ended.

Cause: the check for a reset writes an empty line and looks for its failure. While a part of the request waits to be sent, the write is only queued and can't fail in time, so the end counted as a normal one.

In that case the check now asks for the address of the peer, which a connection has after a normal end and hasn't after a reset (getpeername fails with ENOTCONN). Nothing in the router asks for it before, so it isn't cached.

--- a/packages-private/measure/__tests__/endingAnswers.spec.ts
+++ b/packages-private/measure/__tests__/endingAnswers.spec.ts
@@ -1,4 +1,4 @@
-import type * as net from 'node:net';
+import * as net from 'node:net';
 import type * as ava from 'ava';
 import test from 'ava';
 import * as platform from '@jayrock/platform';
@@ -315,3 +315,82 @@
   t.is((await site.call(makeCall('/once/', 'q4'))).status, 503);
   t.is(countReceived(site, 'q4'), 0);
 });
+
+/** Size of a body that no socket takes at once, in bytes. */
+const LARGE_BODY_BYTES = 20_000_000;
+/** Size of a body that is too large until the configuration changes, in bytes. */
+const SMALL_BODY_BYTES = 20_000;
+const TOO_LARGE_STATUS = 413;
+
+/** Starts an upstream that answers without a length before it has read the body, and reads no more of it. */
+const startEarlyUpstream = async (
+  t: ava.ExecutionContext,
+  end: (socket: net.Socket, rest: string) => void,
+): Promise<string> => {
+  const sockets = new Set<net.Socket>();
+  const server = net.createServer((socket) => {
+    sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.once('data', (bytes) => {
+      socket.pause();
+      const [, id] = new RegExp(`${H.requestId}: (\\S+)`, 'i').exec(bytes.toString('latin1')) ?? [];
+      socket.write(makeHead(`${H.requestId}: ${id}\r\n${H.stamp}: of-early\r\n`) + PLAIN_BODY);
+      setTimeout(() => end(socket, PLAIN_BODY), PAUSE_MS);
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', () => resolve());
+  });
+  t.teardown(() => {
+    sockets.forEach((socket) => socket.destroy());
+    server.close();
+  });
+  const { port } = server.address() as net.AddressInfo;
+  return `127.0.0.1:${port}`;
+};
+
+/** Ends of an answer whose request is still being sent, and the status that the caller gets. */
+const EARLY_ENDS = [
+  ['is complete when the upstream ends it', (socket, rest) => socket.end(rest), 200],
+  ['is not complete when it is reset', (socket, rest) => ENDS.reset?.(socket, rest), 502],
+  [
+    'is not complete when its process ends',
+    (socket, rest) => {
+      socket.write(rest);
+      // The rest of the request is unread, so that the system resets the connection.
+      socket.destroy();
+    },
+    502,
+  ],
+] as const satisfies readonly (readonly [
+  string,
+  (socket: net.Socket, rest: string) => void,
+  number,
+])[];
+
+EARLY_ENDS.forEach(([name, end, status], index) =>
+  test(`an answer without a length that begins before its request is sent ${name}`, async (t) => {
+    const site = await startSite(t, `127.0.26.${40 + index}`, 1);
+    const address = await startEarlyUpstream(t, end);
+    const { limits } = routedSite.makeConfiguration(1) as { readonly limits: object };
+    site.store.put(
+      platform.wire.KEYS.configuration,
+      routedSite.makeConfiguration(2, { limits: { ...limits, max_body_bytes: LARGE_BODY_BYTES } }),
+    );
+    site.registerUpstream(0, { address, sequence: 2 });
+    const isKnown = async (): Promise<boolean> => {
+      const { status: first, body } = await site.call({
+        ...makeCall('/issue/', 'first'),
+        body: 'b'.repeat(SMALL_BODY_BYTES),
+      });
+      return first !== TOO_LARGE_STATUS && !body.startsWith('from');
+    };
+    await standIns.control.waitUntil(isKnown);
+    const response = await site.call({
+      ...makeCall('/issue/', 'q1'),
+      body: 'b'.repeat(LARGE_BODY_BYTES),
+    });
+    t.is(response.status, status);
+    t.is(response.body === PLAIN_BODY + PLAIN_BODY, status === 200);
+  }),
+);
--- a/packages/router/src/upstreams/connectionPools.ts
+++ b/packages/router/src/upstreams/connectionPools.ts
@@ -60,10 +60,14 @@
 
 /**
  * Returns whether the peer has reset a connection that seems to have ended normally. If the reset arrives
- * together with the last bytes, the event loop reports a normal end, but a write still fails.
+ * together with the last bytes, the event loop reports a normal end, but a write still fails. It would only be queued
+ * behind a request that is still being sent, but a connection that was reset has no peer, which is looked up here first.
  */
 const isReset = (socket: net.Socket): boolean => {
   if (socket.errored === null && !socket.destroyed) {
+    if (socket.writableLength > 0) {
+      return socket.remoteAddress === undefined;
+    }
     // `socket.write` itself rejects writes after an end.
     stream.Writable.prototype.write.call(socket, EMPTY_LINE, 'latin1');
   }
