fix(core): upstreams that fail together do not accuse what they had just begun

Change: crashes within a tenth of a second count once; with five crashes in all, one separate crash fewer is enough, so that a quick series of crashes by a bad part is still met in time.

A new test: 12 requests on upstreams that fail together.

--- a/packages/core/__tests__/guard.spec.ts
+++ b/packages/core/__tests__/guard.spec.ts
@@ -126,6 +126,19 @@
   }
 });
 
+test('upstreams that fail together do not accuse a new part of the requests that they had just begun', (t) => {
+  const site = guardFixtures.makeSite(2, 6);
+  const upstreams = Array.from({ length: 12 }, (_, index) => {
+    const router = index % 2;
+    site.send(router, `hit-${index}`, ['new']);
+    return site.begin(router, `hit-${index}`);
+  });
+  t.true(new Set(upstreams).size >= 3);
+  new Set(upstreams).forEach((upstreamId) => site.crash(upstreamId ?? ''));
+  t.false(site.isHeldBack(0, ['new']));
+  t.false(site.isHeldBack(1, ['new']));
+});
+
 test('a router that joins learns the guards in force, and keeps them when all others leave', (t) => {
   const site = guardFixtures.makeSite(2, 5);
   crashUpstreams(site, 12);
--- a/packages/core/src/routed/guardRules.ts
+++ b/packages/core/src/routed/guardRules.ts
@@ -1,15 +1,19 @@
 import * as guardState from './guardState.js';
 
-/** Crashes from which a key is guarded if upstreams had just begun the requests with it. */
+/** Separate crashes from which a key is guarded if upstreams had just begun the requests with it. */
 const MIN_BEGUN = 3;
 /** The same if it is not known whether they had begun them. */
 const MIN_PRESENT = 4;
+/** Crashes, separate or not, from which one separate crash fewer is enough. */
+const MIN_TOTAL = 5;
 /** Requests that a part must have been in: with fewer, the request itself may be the cause. */
 const MIN_REQUESTS = 2;
+/** Time within which crashes may have a common cause, such as a host that fails, in milliseconds. */
+const COMMON_CAUSE_MS = 100;
 /** Separate crashes from which a key is guarded although an upstream survived it before. */
 const MIN_AFTER_SURVIVAL = 5;
-/** Time within which crashes may have a common cause, in milliseconds. */
-const COMMON_CAUSE_MS = 500;
+/** The time above for such a key, since many requests have it. */
+const COMMON_CAUSE_AFTER_SURVIVAL_MS = 500;
 /** Most findings that are derived, so that much evidence does not take long. */
 const MAX_FINDINGS = 16;
 
@@ -23,7 +27,8 @@
 /** Evidence against one key. */
 interface Tally {
   readonly key: string;
-  readonly crashes: Set<string>;
+  /** Times of the crashes at which requests with the key were present, by crash; in order. */
+  readonly crashes: Map<string, number>;
   /** Times of the crashes at which upstreams had just begun a request with the key, by crash. */
   readonly begunAtMs: Map<string, number>;
   readonly requests: Set<string>;
@@ -53,13 +58,13 @@
     }
     const tally = tallies.get(key) ?? {
       key,
-      crashes: new Set(),
+      crashes: new Map(),
       begunAtMs: new Map(),
       requests: new Set(),
       hasSurvived: survivedAtMs !== undefined,
     };
     tallies.set(key, tally);
-    tally.crashes.add(incident.id);
+    tally.crashes.set(incident.id, incident.atMs);
     tally.requests.add(request.id);
     if (request.hasBegun) {
       tally.begunAtMs.set(incident.id, incident.atMs);
@@ -73,26 +78,35 @@
   return tallies;
 };
 
-/** Counts crashes, those shortly after one another as one. */
-const countSeparate = (timesMs: readonly number[]): number =>
+/** Counts crashes, those within a time after one another as one; the times are in order. */
+const countSeparate = (timesMs: readonly number[], apartMs: number): number =>
   timesMs.reduce(
     ({ count, lastMs }, atMs) =>
-      atMs - lastMs < COMMON_CAUSE_MS ? { count, lastMs } : { count: count + 1, lastMs: atMs },
+      atMs - lastMs < apartMs ? { count, lastMs } : { count: count + 1, lastMs: atMs },
     { count: 0, lastMs: -Infinity },
   ).count;
 
+const isEnough = (timesMs: readonly number[], minSeparate: number): boolean => {
+  const separate = countSeparate(timesMs, COMMON_CAUSE_MS);
+  return separate >= minSeparate || (separate >= minSeparate - 1 && timesMs.length >= MIN_TOTAL);
+};
+
 const hasEnoughCrashes = (
   begunAtMs: readonly number[],
-  crashCount: number,
+  presentAtMs: readonly number[],
   hasSurvived: boolean,
 ): boolean =>
   hasSurvived
-    ? countSeparate(begunAtMs) >= MIN_AFTER_SURVIVAL
-    : begunAtMs.length >= MIN_BEGUN || crashCount >= MIN_PRESENT;
+    ? countSeparate(begunAtMs, COMMON_CAUSE_AFTER_SURVIVAL_MS) >= MIN_AFTER_SURVIVAL
+    : isEnough(begunAtMs, MIN_BEGUN) || isEnough(presentAtMs, MIN_PRESENT);
 
 const isDue = (tally: Tally): boolean =>
   (!guardState.isPartKey(tally.key) || tally.requests.size >= MIN_REQUESTS) &&
-  hasEnoughCrashes(Array.from(tally.begunAtMs.values()), tally.crashes.size, tally.hasSurvived);
+  hasEnoughCrashes(
+    Array.from(tally.begunAtMs.values()),
+    Array.from(tally.crashes.values()),
+    tally.hasSurvived,
+  );
 
 /** Returns whether a key may have to be guarded, before it is known which crashes others explain. */
 export const mayBeDue = (state: guardState.GuardState, key: string): boolean => {
@@ -100,12 +114,13 @@
   const records = state.crashes
     .valueSeq()
     .filter((record) => record.keys.has(key) && record.atMs > (survivedAtMs ?? -Infinity))
-    .toArray();
-  const begunAtMs = records
-    .filter((record) => record.keys.get(key) === true)
-    .map((record) => record.atMs)
-    .toSorted((a, b) => a - b);
-  return hasEnoughCrashes(begunAtMs, records.length, survivedAtMs !== null);
+    .toArray()
+    .toSorted((a, b) => a.atMs - b.atMs);
+  return hasEnoughCrashes(
+    records.filter((record) => record.keys.get(key) === true).map((record) => record.atMs),
+    records.map((record) => record.atMs),
+    survivedAtMs !== null,
+  );
 };
 
 /** Orders keys by how well they explain the crashes: most crashes first, then parts. */
@@ -118,7 +133,7 @@
 
 /** Lists the crashes on which the case against a key rests. */
 const listEvidence = (tally: Tally): readonly string[] =>
-  Array.from(tally.begunAtMs.size >= MIN_BEGUN ? tally.begunAtMs.keys() : tally.crashes);
+  Array.from((tally.begunAtMs.size >= MIN_BEGUN ? tally.begunAtMs : tally.crashes).keys());
 
 const hasAll = (set: readonly string[], subset: readonly string[]): boolean =>
   subset.every((item) => set.includes(item));
