--- a/packages-private/measure/__tests__/keptConnections.spec.ts
+++ b/packages-private/measure/__tests__/keptConnections.spec.ts
@@ -229,18 +229,21 @@
   t.is(response.status, 413);
 });
 
-test.serial('a long answer that is still being written when the router stops arrives whole', async (t) => {
-  const site = await startSite(t, '127.0.125.31');
-  const body = 'x'.repeat(8_000_000);
-  setBehaviour(site, { kind: 'answer', status: 200, body });
-  const caller = openKeptCaller(t, site.callers);
-  caller.send(renderRequest('q1', '/read/'));
-  await caller.waitForAnswer('q1');
-  caller.socket.pause();
-  const stopped = site.running.stop();
-  await standIns.control.wait(3_500);
-  caller.socket.resume();
-  await stopped;
-  await standIns.control.waitUntil(caller.isClosed);
-  t.true(caller.getText().endsWith(body));
-});
+test.serial(
+  'a long answer that is still being written when the router stops arrives whole',
+  async (t) => {
+    const site = await startSite(t, '127.0.125.31');
+    const body = 'x'.repeat(8_000_000);
+    setBehaviour(site, { kind: 'answer', status: 200, body });
+    const caller = openKeptCaller(t, site.callers);
+    caller.send(renderRequest('q1', '/read/'));
+    await caller.waitForAnswer('q1');
+    caller.socket.pause();
+    const stopped = site.running.stop();
+    await standIns.control.wait(3_500);
+    caller.socket.resume();
+    await stopped;
+    await standIns.control.waitUntil(caller.isClosed);
+    t.true(caller.getText().endsWith(body));
+  },
+);
