--- a/packages-private/measure/__tests__/lostAnswers.spec.ts
+++ b/packages-private/measure/__tests__/lostAnswers.spec.ts
@@ -331,6 +331,35 @@
   },
 );
 
+test.serial(
+  'a stop of the own interface waits for a request whose body is still being read',
+  async (t) => {
+    const site = await socketSite.startSite('127.0.47.13');
+    const startedAtMs = performance.now();
+    const stopped = site.close();
+    await standIns.control.wait(REMOVAL_MS - 100);
+    const caller = await connectRaw(site.address);
+    caller.socket.write(
+      [
+        'POST /services/orders/issue HTTP/1.1',
+        'host: x',
+        'authorization: Bearer demo-ada',
+        'content-type: application/json',
+        'content-length: 12',
+        '',
+        '{"a":',
+      ].join('\r\n'),
+    );
+    await standIns.control.wait(300);
+    caller.socket.write('"bcde"}');
+    await caller.closed;
+    t.true(isWholeAnswer(caller.getText()), caller.getText());
+    t.is(getStatus(caller.getText()), 503);
+    await stopped;
+    t.true(performance.now() - startedAtMs < REMOVAL_MS + 1_500);
+  },
+);
+
 const MAIN = path.join(
   path.dirname(module.createRequire(import.meta.url).resolve('@jayrock/router')),
   'main.js',
