--- a/packages/core/__tests__/routed.spec.ts
+++ b/packages/core/__tests__/routed.spec.ts
@@ -181,29 +181,41 @@
   t.not(next, upstreamId);
 });
 
-test('a request that crashed three upstreams is quarantined on all routers for the hold time', (t) => {
-  const ids = ['u1', 'u2', 'u3'];
+test('a request that crashed three upstreams is refused on all routers until it no longer comes', (t) => {
+  const ids = ['u1', 'u2', 'u3', 'u4', 'u5'];
   const [first, second] = [
     routedFixtures.makeRoutedDriver(ids),
     routedFixtures.makeRoutedDriver(ids),
   ];
-  const isServed = (driver: fixtures.Driver, id: string, nowMs: number): boolean =>
-    listStarts(routedFixtures.sendCall(driver, id, {}, 0, nowMs)).length > 0;
-  const crash = (upstreamId: string): void => {
-    const effects = first.send({ type: 'crashObserved', fingerprint: 'f', upstreamId }, 100);
-    fixtures
-      .pickEffects(effects, 'broadcastCrashEvidence')
-      .forEach(({ fingerprint, crashes }) =>
-        second.send({ type: 'crashEvidenceReceived', fingerprint, crashes }, 100),
-      );
+  const send = (driver: fixtures.Driver, id: string, nowMs: number): string | undefined =>
+    listStarts(routedFixtures.sendCall(driver, id, { path: '/issue/' }, 0, nowMs))[0];
+  const crash = (id: string, nowMs: number): void => {
+    const upstreamId = send(first, id, nowMs) ?? '';
+    first.send(routedFixtures.makeFailure(id, 1), nowMs);
+    // A crash that is observed more than once counts once.
+    ['once', 'again'].forEach(() => {
+      const effects = first.send({ type: 'crashObserved', upstreamId }, nowMs);
+      fixtures
+        .pickEffects(effects, 'broadcastGuardNews')
+        .forEach(({ news }) => second.send({ type: 'guardNewsReceived', news }, nowMs));
+    });
+    const host = routedFixtures.makeHost(upstreamId, { bornAtMs: id.charCodeAt(0) });
+    [first, second].forEach((driver) => driver.send({ type: 'hostChanged', host }, nowMs));
   };
-  ['u1', 'u1', 'u2'].forEach(crash);
-  t.true(isServed(second, 'a', 200));
-  crash('u3');
-  t.false(isServed(first, 'b', 300));
-  t.false(isServed(second, 'c', 300));
-  // The request may have been running by coincidence, so it is admitted again after the hold time.
-  t.true(isServed(second, 'd', 100 + core.quarantine.ROUTED_RULE.holdMs));
+  crash('a', 1_000);
+  crash('b', 1_100);
+  t.truthy(send(second, 'c', 1_200));
+  crash('d', 1_200);
+  t.is(send(first, 'e', 1_300), undefined);
+  t.is(send(second, 'f', 1_300), undefined);
+  const { HOLD_MS } = core.guardState;
+  // Each refusal renews the guard.
+  second.send({ type: 'ticked' }, HOLD_MS);
+  t.is(send(second, 'g', HOLD_MS), undefined);
+  second.send({ type: 'ticked' }, 1_300 + HOLD_MS);
+  t.is(send(second, 'h', 1_300 + HOLD_MS), undefined);
+  second.send({ type: 'ticked' }, 1_300 + 2 * HOLD_MS);
+  t.truthy(send(second, 'i', 1_300 + 2 * HOLD_MS));
 });
 
 test('a stream that has begun is aborted when its last upstream answers with a failure', (t) => {
@@ -405,6 +417,9 @@
   t.is(findRefusal(routedFixtures.sendCall(driver, 'late')), 'routerStopping');
 });
 
+const listAttemptIds = (effects: readonly core.effects.Effect[]): readonly number[] =>
+  fixtures.pickEffects(effects, 'startAttempt').map((effect) => effect.attemptId);
+
 /** Starts a stream and forwards its head; returns the id of its attempt. */
 const startStream = (driver: fixtures.Driver): number => {
   routedFixtures.sendCall(driver, 'a', { path: '/talk/' });
@@ -454,3 +469,52 @@
   const freed = driver.send({ ...ended, attemptId: second?.id ?? -1 }, lateMs + 100);
   t.deepEqual(listStarts(freed), [other]);
 });
+
+test('the rest of an answer stays on an unreachable upstream if no other one has capacity', (t) => {
+  const driver = routedFixtures.makeRoutedDriver(['u1', 'u2']);
+  startStream(driver);
+  const [first] = driver.getState().requests.get('a')?.attempts ?? [];
+  const { upstreamId = '' } = first ?? {};
+  ['u1', 'u2'].forEach((id) =>
+    driver.send({ type: 'hostChanged', host: routedFixtures.makeHost(id, { slots: 1 }) }),
+  );
+  const busy = routedFixtures.sendCall(driver, 'b', { path: '/talk/' });
+  t.not(listStarts(busy)[0], upstreamId);
+  const effects = driver.send({ type: 'reachabilityObserved', upstreamId, isReachable: false });
+  t.deepEqual(fixtures.pickEffects(effects, 'cancelAttempt'), []);
+  t.deepEqual(driver.getState().requests.get('a')?.attempts, [first]);
+});
+
+test('attempts stay on an upstream that refuses new connections', (t) => {
+  const driver = routedFixtures.makeRoutedDriver(['u1', 'u2']);
+  startStream(driver);
+  const [first] = driver.getState().requests.get('a')?.attempts ?? [];
+  const { upstreamId = '' } = first ?? {};
+  const observed = { type: 'reachabilityObserved', upstreamId, isReachable: false } as const;
+  const effects = driver.send({ ...observed, isRefused: true });
+  t.deepEqual(fixtures.pickEffects(effects, 'cancelAttempt'), []);
+  t.is(fixtures.pickEffects(effects, 'dropUnsent').length, 1);
+  t.not(listStarts(routedFixtures.sendCall(driver, 'b', { path: '/talk/' }))[0], upstreamId);
+});
+
+test('only a success can continue an answer that has begun', (t) => {
+  const driver = routedFixtures.makeRoutedDriver(['u1', 'u2', 'u3']);
+  const attemptId = startStream(driver);
+  const [next] = listAttemptIds(driver.send(routedFixtures.makeFailure('a', attemptId)));
+  const head = { status: 400, confidence: null };
+  const rejected = driver.send({
+    type: 'routedHeadArrived',
+    requestId: 'a',
+    attemptId: next ?? -1,
+    head,
+  });
+  t.is(fixtures.pickEffects(rejected, 'forwardAnswer').length, 0);
+  const [last] = listAttemptIds(rejected);
+  const ended = driver.send({
+    type: 'routedHeadArrived',
+    requestId: 'a',
+    attemptId: last ?? -1,
+    head,
+  });
+  t.is(findRefusal(ended), 'answerIncomplete');
+});
--- a/packages/core/src/routed/routedAnswers.ts
+++ b/packages/core/src/routed/routedAnswers.ts
@@ -3,8 +3,8 @@
 import type * as effects from '../effects.js';
 import type * as events from '../events.js';
 import * as health from '../health.js';
-import * as quarantine from '../quarantine.js';
 import * as requestAttempt from '../requestAttempt.js';
+import type * as requestState from '../requestState.js';
 import * as routerState from '../routerState.js';
 import * as serviceState from '../serviceState.js';
 import * as slots from '../slots.js';
@@ -13,6 +13,7 @@
 import * as canaryState from './canaryState.js';
 import * as modelChoice from './modelChoice.js';
 import * as prefixCache from './prefixCache.js';
+import * as routedCrashes from './routedCrashes.js';
 import * as routedContext from './routedContext.js';
 import * as routedPlacement from './routedPlacement.js';
 import * as routedRetry from './routedRetry.js';
@@ -94,20 +95,28 @@
   return health.evaluateUpstream(evaluated, attempt.upstreamId, nowMs);
 };
 
-/** Removes an attempt's tokens from its upstream's prefill load, since prefill is complete when the head arrives. */
-const clearPrefill = (
+/**
+ * Records that an answer has begun, and removes the attempt's tokens from its upstream's prefill load, since prefill is
+ * complete when the head arrives.
+ */
+const recordBegin = (
   current: routerState.RouterState,
   { request, attempt }: routedRetry.RoutedRequestAttempt,
+  nowMs: number,
 ): routerState.RouterState =>
   routerState.setRequest(
-    routerState.updateUpstream(current, attempt.upstreamId, (upstream) => ({
-      ...upstream,
-      prefillTokens: Math.max(0, upstream.prefillTokens - attempt.prefillTokens),
-    })),
+    routerState.updateUpstream(
+      routedCrashes.recordBegin(current, request, attempt, nowMs),
+      attempt.upstreamId,
+      (upstream) => ({
+        ...upstream,
+        prefillTokens: Math.max(0, upstream.prefillTokens - attempt.prefillTokens),
+      }),
+    ),
     {
       ...request,
       attempts: request.attempts.map((item) =>
-        item.id === attempt.id ? { ...item, prefillTokens: 0 } : item,
+        item.id === attempt.id ? { ...item, prefillTokens: 0, headAtMs: nowMs } : item,
       ),
     },
   );
@@ -184,6 +193,13 @@
   },
 });
 
+/** Returns whether a status is a failure; only a success can continue an answer that has begun. */
+const isFailure = (request: requestState.RequestState, status: number): boolean =>
+  status >=
+  (request.forwardedAttempt === null
+    ? routedState.FIRST_FAILURE_STATUS
+    : routedState.FIRST_UNUSABLE_STATUS);
+
 /**
  * Handles the head of an answer: retries a failure, sends a request with an answer of low confidence to a better
  * model, and otherwise forwards the answer.
@@ -198,7 +214,7 @@
   }
   const { request, routed, attempt } = target;
   const elapsedMs = event.nowMs - attempt.startedAtMs;
-  if (event.head.status >= routedState.FIRST_FAILURE_STATUS) {
+  if (isFailure(request, event.head.status)) {
     const withEvidence = recordEvidence(current, target, null, event.nowMs);
     return transition.composeTransition(
       transition.makeTransition(withEvidence, describeFailure(target, event)),
@@ -206,7 +222,7 @@
     );
   }
   const withEvidence = recordEvidence(current, target, elapsedMs, event.nowMs);
-  const withHead = clearPrefill(recordHead(withEvidence, target, event.nowMs), target);
+  const withHead = recordBegin(recordHead(withEvidence, target, event.nowMs), target, event.nowMs);
   const { routeIndex: index } = withHead.routed;
   const isFirstAnswer = request.forwardedAttempt === null && routed.call.lastEventId === null;
   const better =
@@ -299,7 +315,6 @@
   const finished: routerState.RouterState = {
     ...withThroughput,
     requests: withThroughput.requests.remove(request.id),
-    quarantine: quarantine.clearSuspicion(withThroughput.quarantine, request.shape.fingerprint),
   };
   const effect: effects.EffectOf<'finishAnswer'> = {
     type: 'finishAnswer',
@@ -307,7 +322,10 @@
     pin: null,
     hasMovedSession: false,
   };
-  return transition.composeTransition(transition.makeTransition(finished, effect), (next) =>
+  const ended = transition.composeTransition(transition.makeTransition(finished, effect), (next) =>
+    routedCrashes.recordEnd(next, request, attempt, event.nowMs),
+  );
+  return transition.composeTransition(ended, (next) =>
     dispatch.drainUpstream(next, attempt.upstreamId, event),
   );
 };
@@ -331,7 +349,11 @@
   const withEvidence = EVIDENCE_FAILURES.has(event.failure)
     ? recordEvidence(current, target, null, event.nowMs)
     : current;
-  return routedRetry.recoverAttempt(withEvidence, target, event);
+  const withBreak =
+    event.failure === 'broken' && !event.isNotRun
+      ? routedCrashes.recordBreak(withEvidence, target.request, target.attempt, event.nowMs)
+      : withEvidence;
+  return routedRetry.recoverAttempt(withBreak, target, event);
 };
 
 /**
@@ -383,18 +405,21 @@
     )
     .filter((target) => target !== null);
 
-/** Records an upstream's reachability; moves attempts off an unreachable one and queued requests to a reachable one. */
+/**
+ * Records an upstream's reachability; moves attempts off an unreachable one and queued requests to a reachable one.
+ * One that refuses new connections still answers on those that are open.
+ */
 const handleReachabilityObserved = (
   current: routerState.RouterState,
   event: events.EventOf<'reachabilityObserved'>,
 ): transition.Transition => {
-  const { upstreamId, isReachable } = event;
+  const { upstreamId, isReachable, isRefused = false } = event;
   const updated = transition.makeTransition(
     routerState.updateUpstream(current, upstreamId, (upstream) => ({ ...upstream, isReachable })),
     {
       type: 'log',
       message: 'upstream reachability changed',
-      fields: { upstream: upstreamId, isReachable },
+      fields: { upstream: upstreamId, isReachable, isRefused },
     },
   );
   return isReachable
@@ -404,7 +429,9 @@
     : listAttempts(current, upstreamId).reduce(
         (done, target) =>
           transition.composeTransition(done, (next) =>
-            routedRetry.rerouteAttempt(next, target, event),
+            isRefused
+              ? routedRetry.rerouteUnsent(next, target)
+              : routedRetry.rerouteAttempt(next, target, event),
           ),
         updated,
       );
--- a/packages/router/src/upstreams/connectionPools.ts
+++ b/packages/router/src/upstreams/connectionPools.ts
@@ -16,30 +16,58 @@
   /** Replaces the pool of an address, because its open connections may be dead. */
   readonly renew: (address: string) => void;
   /**
-   * Returns whether the connection of the answer that is just ending was reset. For an answer without a
-   * length, the HTTP libraries treat a reset as its normal end; only this check distinguishes the two.
+   * Returns whether the connection of the answer that is just ending was reset. A reset that arrives together with the
+   * last bytes of an answer without a length looks like its normal end; only this check distinguishes the two.
    */
   readonly wasReset: () => boolean;
   readonly close: () => Promise<void>;
 }
 
+/** Options of a request whose answer may be paused. */
+export interface PausableOptions extends undici.Dispatcher.DispatchOptions {
+  /**
+   * Called before the library handles the end of the connection, when all bytes have been handed on. A paused answer
+   * has to be resumed then, since the library fails at the end of one that is paused and has no length.
+   */
+  readonly onConnectionEnd?: () => void;
+}
+
 type Connector = ReturnType<typeof undici.buildConnector>;
 
-/** Tracks the connection that closes in the current turn of the event loop, if any. */
+/** Tracks the connection that ends in the current turn of the event loop, if any. */
 interface ClosingConnection {
-  readonly record: (socket: net.Socket, hasFailed: boolean) => void;
+  readonly record: (socket: net.Socket) => void;
   readonly wasReset: () => boolean;
 }
 
+/** Code of an error that the library takes for the end of an answer without a length. */
+const RESET_CODE = 'ECONNRESET';
+/** Code with which the library fails the answer. */
+const BROKEN_CODE = 'EPIPE';
+
+/**
+ * Makes the library fail an answer whose connection was reset: it would take the reset for the end of an answer without
+ * a length, and would fail itself while such an answer is paused.
+ */
+const markBroken = (error: NodeJS.ErrnoException): void => {
+  if (error.code === RESET_CODE) {
+    Object.assign(error, { code: BROKEN_CODE });
+  }
+};
+
 /** Empty line, which servers ignore before a request line. */
 const EMPTY_LINE = '\r\n';
 
 /**
  * Returns whether the peer has reset a connection that seems to have ended normally. If the reset arrives
- * together with the last bytes, the event loop reports a normal end, but a write still fails.
+ * together with the last bytes, the event loop reports a normal end, but a write still fails. It would only be queued
+ * behind a request that is still being sent, but a connection that was reset has no peer, which is looked up here first.
  */
 const isReset = (socket: net.Socket): boolean => {
   if (socket.errored === null && !socket.destroyed) {
+    if (socket.writableLength > 0) {
+      return socket.remoteAddress === undefined;
+    }
     // `socket.write` itself rejects writes after an end.
     stream.Writable.prototype.write.call(socket, EMPTY_LINE, 'latin1');
   }
@@ -47,15 +75,15 @@
 };
 
 const makeClosingConnection = (): ClosingConnection => {
-  let closing: { readonly socket: net.Socket; readonly hasFailed: boolean } | null = null;
+  let closing: net.Socket | null = null;
   return {
-    record: (socket, hasFailed) => {
-      closing = { socket, hasFailed };
+    record: (socket) => {
+      closing = socket;
       queueMicrotask(() => {
         closing = null;
       });
     },
-    wasReset: () => closing !== null && (closing.hasFailed || isReset(closing.socket)),
+    wasReset: () => closing !== null && isReset(closing),
   };
 };
 
@@ -71,17 +99,42 @@
   return (options, done) =>
     connect(options, (...result) => {
       const [, socket] = result;
-      socket?.on('error', () => closing.record(socket, true));
-      socket?.on('end', () => closing.record(socket, false));
+      socket?.on('error', markBroken);
+      socket?.on('end', () => closing.record(socket));
       barrier.run(() => done(...result));
     });
 };
 
+/** Opens the client of one connection, which serves one request at a time. */
+const openClient = (origin: URL, options: undici.Client.Options): undici.Client => {
+  const { connect } = options;
+  let current: PausableOptions | null = null;
+  const client = new undici.Client(origin, {
+    ...options,
+    connect: (target, done) => {
+      if (typeof connect === 'function') {
+        connect(target, (...result) => {
+          const [, socket] = result;
+          socket?.on('end', () => current?.onConnectionEnd?.());
+          done(...result);
+        });
+      }
+    },
+  });
+  const dispatch = client.dispatch.bind(client);
+  client.dispatch = (request, handler) => {
+    current = request;
+    return dispatch(request, handler);
+  };
+  return client;
+};
+
 const openPool = (address: string, localAddress: string, connect: Connector): undici.Pool =>
   new undici.Pool(`http://${address}`, {
     connections: MAX_CONNECTIONS,
     localAddress,
     connect,
+    factory: openClient,
     keepAliveTimeout: KEEP_ALIVE_MS,
     headersTimeout: 0,
     bodyTimeout: 0,
