fix(router): a stop keeps the grace period of reloaded settings

A router whose settings were changed to a shorter grace period (SIGHUP, or the file alone) went on answering until the former one was nearly over, when the platform has ended the process: callers' connections broke without an answer.

Cause: the stop, the readiness check and the age at which a request confirms the table used the bounds of the start; only the reducer got changed ones. All read the bounds in force now.

Before: grace period 6 s, changed to 4 s; a request that waits for its upstream has no answer 4 s after the stop.

--- a/packages/router/src/routed/routedServer.ts
+++ b/packages/router/src/routed/routedServer.ts
@@ -14,8 +14,8 @@
   readonly clock: freshnessClock.FreshnessClock;
   readonly connections: callerConnections.CallerConnections;
   readonly limits: CallerLimits;
-  /** Time since the table's last confirmation above which a request first refreshes it, in milliseconds. */
-  readonly maxTableAgeMs: number;
+  /** Returns the time since the table's last confirmation above which a request first refreshes it, in milliseconds. */
+  readonly getMaxTableAgeMs: () => number;
   /** Confirms the table now; resolves to false if the source does not answer. */
   readonly refreshTable: () => Promise<boolean>;
   /** Returns whether a new request may still be started: it has to be finished before the router has stopped. */
@@ -153,7 +153,7 @@
   };
   context.pending.set(pending.id, pending);
   // After a suspension or a clock step, one read of the store shows whether the table is current.
-  if (context.clock.getAgeMs() > context.maxTableAgeMs) {
+  if (context.clock.getAgeMs() > context.getMaxTableAgeMs()) {
     await Promise.race([context.refreshTable(), shared.delay.wait(REFRESH_WAIT_MS)]);
   }
   context.connections.admit(response, {
--- a/packages/router/src/routed/startRoutedRouter.ts
+++ b/packages/router/src/routed/startRoutedRouter.ts
@@ -186,23 +186,23 @@
   parts: RoutedRouterParts,
   settings: shared.settings.Settings,
   platform: RoutedPlatform,
+  getBounds: () => RoutedPlatform['bounds'],
   getStopAgeMs: () => number | null,
 ): Promise<readonly fastify.FastifyInstance[]> => {
   const { runtime, clock, source } = parts;
-  const maxReadyAgeMs = platform.bounds.revocationMs * READY_AGE_SHARE;
   const isLeaving = (): boolean => getStopAgeMs() !== null;
   const isReady = (): boolean =>
     !isLeaving() &&
     runtime.getState().routed.routeIndex !== null &&
     runtime.getState().upstreams.size > 0 &&
-    clock.getAgeMs() <= maxReadyAgeMs;
+    clock.getAgeMs() <= getBounds().revocationMs * READY_AGE_SHARE;
   const callers = routedServer.makeRoutedServer({
     runtime,
     pending: parts.pending,
     clock,
     connections: parts.connections,
     endAbandoned: (pending) => routedRunners.endAbandoned(parts, pending),
-    maxTableAgeMs: platform.bounds.revocationMs * CONFIRMATION_AGE_SHARE,
+    getMaxTableAgeMs: () => getBounds().revocationMs * CONFIRMATION_AGE_SHARE,
     refreshTable: source.refresh,
     mayStart: () => (getStopAgeMs() ?? 0) <= START_MS,
     refuseLate: (pending) => routedRunners.refuseLate(parts, pending),
@@ -288,10 +288,15 @@
   const parts = makeParts(settings, platform, baseDir);
   const { runtime, log, source } = parts;
   let stoppedAtMs: number | null = null;
+  let { bounds } = platform;
   let isClosed = false;
   let stopFeeds = (): void => undefined;
-  const opened = openListeners(parts, settings, platform, () =>
-    stoppedAtMs === null ? null : performance.now() - stoppedAtMs,
+  const opened = openListeners(
+    parts,
+    settings,
+    platform,
+    () => bounds,
+    () => (stoppedAtMs === null ? null : performance.now() - stoppedAtMs),
   );
   const startFeeds = async (): Promise<void> => {
     await opened;
@@ -335,7 +340,7 @@
       stoppedAtMs = performance.now() - parts.loop.getInputAgeMs();
       const [callers] = await opened;
       if (callers !== undefined) {
-        await drainRequests(parts, callers, stoppedAtMs, platform.bounds.graceMs);
+        await drainRequests(parts, callers, stoppedAtMs, bounds.graceMs);
       }
       await close();
     },
@@ -343,6 +348,7 @@
     reload: (changed) => {
       if (changed.platform.kind === platform.kind) {
         const next = makeRoutedSettings(changed.platform);
+        ({ bounds } = changed.platform);
         runtime.dispatch({ type: 'routedSettingsChanged', settings: next });
         log.info({ settings: next }, 'settings reloaded');
       }
