fix(router): a stop ends although a peer has sent a part of a call only

A stopped router did not end: its process ran until the platform killed it.

Cause: the close of the listener for other routers waits for connections on which a call has begun, and the close also ends the check for header time-outs. One peer that is cut off in the middle of a call holds the process for good, on both interfaces.

--- a/packages/router/src/routed/startRoutedRouter.ts
+++ b/packages/router/src/routed/startRoutedRouter.ts
@@ -4,6 +4,7 @@
 import * as fastify from 'fastify';
 import * as pino from 'pino';
 import * as callerConnections from '../callers/callerConnections.js';
+import * as closeServer from '../closeServer.js';
 import * as inputBarrier from '../eventLoop/inputBarrier.js';
 import * as loopMonitor from '../eventLoop/loopMonitor.js';
 import * as peerHandlers from '../peers/peerHandlers.js';
@@ -331,7 +332,7 @@
     parts.loop.stop();
     parts.barrier.stop();
     listeners[0]?.server.closeAllConnections();
-    await Promise.all(listeners.map((listener) => listener.close()));
+    await Promise.all(listeners.map(closeServer.closeServer));
     await Promise.all([parts.pools.close(), parts.client.close(), source.stop()]);
   };
   const router: RunningRoutedRouter = {
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -6,6 +6,7 @@
 import * as callerConnections from './callers/callerConnections.js';
 import * as callerServer from './callers/callerServer.js';
 import * as claimService from './claims/claimService.js';
+import * as closeServer from './closeServer.js';
 import * as effectRunners from './effectRunners.js';
 import * as inputBarrier from './eventLoop/inputBarrier.js';
 import * as loopMonitor from './eventLoop/loopMonitor.js';
@@ -238,7 +239,7 @@
     interTokens.stop();
     loop.stop();
     barrier.stop();
-    await Promise.all([peerListener.close(), status.close()]);
+    await Promise.all([peerListener, status].map(closeServer.closeServer));
     await Promise.all([pools.close(), services.client.close(), platform.close()]);
   };
   return shared.outcome.makeOk({
