fix(router,platform): replies of peers and of the store that arrived in time are not taken for time-outs

After a long turn of the event loop, calls to other routers and to the store failed although their replies lay unread: peers were probed again through others or suspected, and the store counted as not answering, which refuses confirmations of the table and delays the removal of upstreams.

Cause: the time-out of a call aborted it at once; timers that are due after a turn run before the next poll for I/O.

The signal now aborts after the poll that follows. A reply that belongs to another call ends the call at once.

Not changed: the same signal in packages/stores and the command line.

--- a/packages/router/src/peers/rpcClient.ts
+++ b/packages/router/src/peers/rpcClient.ts
@@ -1,3 +1,4 @@
+import * as shared from '@jayrock/shared';
 import * as jsonRpc from 'json-rpc-2.0';
 import * as undici from 'undici';
 import type * as messages from './messages.js';
@@ -50,7 +51,7 @@
         [signature.SIGNATURE_HEADER]: signature.signMessage(body, secret, Date.now()),
       },
       body,
-      signal: AbortSignal.timeout(timeoutMs),
+      signal: shared.delay.makeTimeoutSignal(timeoutMs),
     });
     const text = await response.body.text();
     bytes += body.length + text.length;
@@ -64,9 +65,10 @@
   ): Promise<Reply<unknown> | null> => {
     const client: jsonRpc.JSONRPCClient = new jsonRpc.JSONRPCClient(async (payload) => {
       client.receive(JSON.parse(await send(address, JSON.stringify(payload), timeoutMs)));
+      client.rejectAllPendingRequests('the reply belongs to another call');
     });
     try {
-      return { value: await client.timeout(timeoutMs).request(method, params) };
+      return { value: await client.request(method, params) };
     } catch {
       return null;
     }
