fix(router): a router that stops while it registers leaves no registration behind

Other routers kept the address of a router that had ended for the rest of its lease (30 s), as a peer to contact.

Cause: the removal did not wait for a registration under way, which then came after it; the more since a router can be stopped while it starts.

Before: peerFeed.spec.ts ends with the key in the store. After: with none.

--- a/packages/router/src/routed/peerFeed.ts
+++ b/packages/router/src/routed/peerFeed.ts
@@ -62,8 +62,9 @@
       await registerRouter();
     }
   };
+  let renewal = Promise.resolve();
   const startRenewal = (): void => {
-    renew().catch((error: unknown) => log.error({ error }, 'router registration failed'));
+    renewal = renew().catch((error: unknown) => log.error({ error }, 'router registration failed'));
   };
   startRenewal();
   const timer = setInterval(startRenewal, RENEW_MS);
@@ -86,6 +87,8 @@
     stop: () => clearInterval(timer),
     leave: async () => {
       clearInterval(timer);
+      // A registration that is under way would otherwise come after its removal.
+      await renewal;
       await store.commit({ checks: [], puts: [], deletes: [key] });
     },
   };
