--- a/packages-private/measure/__tests__/lateArrivals.spec.ts
+++ b/packages-private/measure/__tests__/lateArrivals.spec.ts
@@ -34,7 +34,7 @@
 test.serial(
   'a request that arrives late after the stop signal is refused as not run, not cut off',
   async (t) => {
-    const site = await startSite(t, '127.0.27.1');
+    const site = await startSite(t, '127.0.31.1');
     site.running.stop().catch(() => undefined);
     // The listener is still open then.
     await standIns.control.wait(LATE_MS - 2 * SETTLED_MS);
@@ -50,7 +50,7 @@
 test.serial(
   'a stop signal that lay unread does not lengthen the time in which requests are taken',
   async (t) => {
-    const site = await startSite(t, '127.0.27.2');
+    const site = await startSite(t, '127.0.31.2');
     threadCaller.blockEventLoop(BLOCKED_MS);
     site.running.stop().catch(() => undefined);
     await standIns.control.wait(LATE_MS - BLOCKED_MS + SETTLED_MS / 2);
--- a/packages/router/src/routed/startRoutedRouter.ts
+++ b/packages/router/src/routed/startRoutedRouter.ts
@@ -4,6 +4,7 @@
 import * as fastify from 'fastify';
 import * as pino from 'pino';
 import * as callerConnections from '../callers/callerConnections.js';
+import * as closeServer from '../closeServer.js';
 import * as inputBarrier from '../eventLoop/inputBarrier.js';
 import * as loopMonitor from '../eventLoop/loopMonitor.js';
 import * as peerHandlers from '../peers/peerHandlers.js';
@@ -186,23 +187,23 @@
   parts: RoutedRouterParts,
   settings: shared.settings.Settings,
   platform: RoutedPlatform,
+  getBounds: () => RoutedPlatform['bounds'],
   getStopAgeMs: () => number | null,
 ): Promise<readonly fastify.FastifyInstance[]> => {
   const { runtime, clock, source } = parts;
-  const maxReadyAgeMs = platform.bounds.revocationMs * READY_AGE_SHARE;
   const isLeaving = (): boolean => getStopAgeMs() !== null;
   const isReady = (): boolean =>
     !isLeaving() &&
     runtime.getState().routed.routeIndex !== null &&
     runtime.getState().upstreams.size > 0 &&
-    clock.getAgeMs() <= maxReadyAgeMs;
+    clock.getAgeMs() <= getBounds().revocationMs * READY_AGE_SHARE;
   const callers = routedServer.makeRoutedServer({
     runtime,
     pending: parts.pending,
     clock,
     connections: parts.connections,
     endAbandoned: (pending) => routedRunners.endAbandoned(parts, pending),
-    maxTableAgeMs: platform.bounds.revocationMs * CONFIRMATION_AGE_SHARE,
+    getMaxTableAgeMs: () => getBounds().revocationMs * CONFIRMATION_AGE_SHARE,
     refreshTable: source.refresh,
     mayStart: () => (getStopAgeMs() ?? 0) <= START_MS,
     refuseLate: (pending) => routedRunners.refuseLate(parts, pending),
@@ -288,10 +289,15 @@
   const parts = makeParts(settings, platform, baseDir);
   const { runtime, log, source } = parts;
   let stoppedAtMs: number | null = null;
+  let { bounds } = platform;
   let isClosed = false;
   let stopFeeds = (): void => undefined;
-  const opened = openListeners(parts, settings, platform, () =>
-    stoppedAtMs === null ? null : performance.now() - stoppedAtMs,
+  const opened = openListeners(
+    parts,
+    settings,
+    platform,
+    () => bounds,
+    () => (stoppedAtMs === null ? null : performance.now() - stoppedAtMs),
   );
   const startFeeds = async (): Promise<void> => {
     await opened;
@@ -325,12 +331,8 @@
     parts.peers.stop();
     parts.loop.stop();
     parts.barrier.stop();
-    // A call of a router that cannot be reached any more would keep its connection, and the process, open.
-    listeners.forEach(({ server }) => {
-      server.close();
-      server.closeAllConnections();
-    });
-    await Promise.all(listeners.map((listener) => listener.close()));
+    listeners[0]?.server.closeAllConnections();
+    await Promise.all(listeners.map(closeServer.closeServer));
     await Promise.all([parts.pools.close(), parts.client.close(), source.stop()]);
   };
   const router: RunningRoutedRouter = {
@@ -339,7 +341,7 @@
       stoppedAtMs = performance.now() - parts.loop.getInputAgeMs();
       const [callers] = await opened;
       if (callers !== undefined) {
-        await drainRequests(parts, callers, stoppedAtMs, platform.bounds.graceMs);
+        await drainRequests(parts, callers, stoppedAtMs, bounds.graceMs);
       }
       await close();
     },
@@ -347,6 +349,7 @@
     reload: (changed) => {
       if (changed.platform.kind === platform.kind) {
         const next = makeRoutedSettings(changed.platform);
+        ({ bounds } = changed.platform);
         runtime.dispatch({ type: 'routedSettingsChanged', settings: next });
         log.info({ settings: next }, 'settings reloaded');
       }
