fix(core): of parts that explain crashes equally well only the likeliest is guarded

Cause: as long as no answer of a site was complete, parts that bad and sound requests share explain the first crashes as well as the bad one. Every largest combination of them was guarded, also one that only sound requests had; with these refused, no answer could clear it.

Change: one key is guarded for the same crashes: that which came with a new request at most of them (a request that is sent again after a crash follows the cause), then that which fewest requests had. A wrong choice ends with the next crash, at which the cause has one more than the others. Only parts that were always in the same requests are guarded together.

--- a/packages/core/__tests__/guard.spec.ts
+++ b/packages/core/__tests__/guard.spec.ts
@@ -79,7 +79,7 @@
           const id = `${kind}-${index}`;
           if (kind === 'sound') {
             refusals += Number(site.isHeldBack(router, SHARED));
-            site.send(router, id, SHARED);
+            site.send(router, id, index % 2 === 0 ? SHARED : ['first', `rare-${index % 10}`]);
             site.begin(router, id);
             open.push({ router, id });
           } else if (site.send(router, id, parts)) {
@@ -88,6 +88,8 @@
             site.wait(delayMs);
             site.crash(upstreamId ?? '');
             crashes += 1;
+            // Requests that are sent again after a crash are soon begun where the next one may come.
+            open.forEach((request) => site.begin(request.router, request.id));
           }
           site.wait(pauseMs);
           const oldest = open.length > 4 ? open.shift() : undefined;
--- a/packages/core/src/routed/guardRules.ts
+++ b/packages/core/src/routed/guardRules.ts
@@ -32,6 +32,8 @@
   /** Times of the crashes at which upstreams had just begun a request with the key, by crash. */
   readonly begunAtMs: Map<string, number>;
   readonly requests: Set<string>;
+  /** Crashes at which a request with the key was that had been at none before. */
+  readonly newAt: Set<string>;
   readonly hasSurvived: boolean;
 }
 
@@ -61,10 +63,14 @@
       crashes: new Map(),
       begunAtMs: new Map(),
       requests: new Set(),
+      newAt: new Set(),
       hasSurvived: survivedAtMs !== undefined,
     };
     tallies.set(key, tally);
     tally.crashes.set(incident.id, incident.atMs);
+    if (!tally.requests.has(request.id)) {
+      tally.newAt.add(incident.id);
+    }
     tally.requests.add(request.id);
     if (request.hasBegun) {
       tally.begunAtMs.set(incident.id, incident.atMs);
@@ -123,11 +129,16 @@
   );
 };
 
-/** Orders keys by how well they explain the crashes: most crashes first, then parts. */
+/**
+ * Orders keys by how well they explain the crashes: most crashes first, then parts, then those that came with a new
+ * request most often, since one that is sent again follows the cause, and then those that fewest requests had. If the first one is not the cause, the next crash is one more for the cause alone, which then goes first.
+ */
 const compareTallies = (a: Tally, b: Tally): number =>
   Number(a.hasSurvived) - Number(b.hasSurvived) ||
   b.begunAtMs.size - a.begunAtMs.size ||
-  Number(guardState.isPartKey(b.key)) - Number(guardState.isPartKey(a.key));
+  Number(guardState.isPartKey(b.key)) - Number(guardState.isPartKey(a.key)) ||
+  b.newAt.size - a.newAt.size ||
+  a.requests.size - b.requests.size;
 
 const compareKeys = (a: Tally, b: Tally): number => (a.key < b.key ? -1 : 1);
 
@@ -138,48 +149,14 @@
 const hasAll = (set: readonly string[], subset: readonly string[]): boolean =>
   subset.every((item) => set.includes(item));
 
-/**
- * Lists the largest combinations of keys that requests at the crashes had. Which of several equally suspect keys is the
- * cause cannot be told yet, so requests that have only some of them go on.
- */
-const listCombinations = (
-  incidents: readonly Incident[],
-  crashes: readonly string[],
-  keys: readonly string[],
-): readonly (readonly string[])[] => {
-  const combinations = new Map(
-    incidents
-      .filter((incident) => crashes.includes(incident.id))
-      .flatMap((incident) => incident.requests)
-      .map((request) =>
-        guardState
-          .listKeys(request)
-          .filter((key) => keys.includes(key))
-          .toSorted(),
-      )
-      .filter((combination) => combination.length > 0)
-      .map((combination) => [combination.join(' '), combination]),
-  );
-  const list = Array.from(combinations.values());
-  return list.filter(
-    (combination) =>
-      !list.some((other) => other.length > combination.length && hasAll(other, combination)),
-  );
-};
-
 /**
  * Removes what guarded keys explain. A crash with a guarded part accuses nothing else. One with a guarded request
  * goes on to accuse the parts of that request, since another request with the part may follow.
  */
-const dropExplained = (
-  incidents: readonly Incident[],
-  findings: readonly Finding[],
-): readonly Incident[] => {
-  const isExplained = (request: guardState.AccusedRequest): boolean => {
-    const keys = guardState.listKeys(request);
-    return findings.some((finding) => hasAll(keys, finding.keys));
-  };
-  return findings.some((finding) => finding.keys.some(guardState.isPartKey))
+const dropExplained = (incidents: readonly Incident[], finding: Finding): readonly Incident[] => {
+  const isExplained = (request: guardState.AccusedRequest): boolean =>
+    hasAll(guardState.listKeys(request), finding.keys);
+  return finding.keys.some(guardState.isPartKey)
     ? incidents.filter((incident) => !incident.requests.some(isExplained))
     : incidents.map((incident) =>
         incident.requests.some(isExplained)
@@ -207,18 +184,20 @@
       .toSorted((a, b) => compareTallies(a, b) || compareKeys(a, b));
     const [best] = due;
     if (best === undefined || findings.length >= MAX_FINDINGS) {
-      return findings.slice(0, MAX_FINDINGS);
+      return findings;
     }
-    const crashes = listEvidence(best);
+    const requests = Array.from(best.requests);
+    // Parts that were always in the same requests cannot be told apart: requests that have only some of them go on.
     const keys = due
-      .filter((tally) => compareTallies(best, tally) === 0 && hasAll(listEvidence(tally), crashes))
-      .map((tally) => tally.key);
-    const found = listCombinations(incidents, crashes, keys).map((combination) => ({
-      keys: combination,
-      crashes,
-    }));
-    findings.push(...found);
+      .filter(
+        (tally) =>
+          compareTallies(best, tally) === 0 && hasAll(Array.from(tally.requests), requests),
+      )
+      .map((tally) => tally.key)
+      .toSorted();
+    const finding = { keys, crashes: listEvidence(best) };
+    findings.push(finding);
     keys.forEach((key) => examined.add(key));
-    incidents = dropExplained(incidents, found);
+    incidents = dropExplained(incidents, finding);
   }
 };
