fix(core): a crash beside one without the key does not accuse the key

Change: a crash does not count against a key if another upstream crashed within the same tenth of a second without a request with the key: their common cause is then not the key.

A new test, which fails without the change.

--- a/packages/core/__tests__/guard.spec.ts
+++ b/packages/core/__tests__/guard.spec.ts
@@ -141,6 +141,31 @@
   t.false(site.isHeldBack(1, ['new']));
 });
 
+test('upstreams that fail in groups do not accuse a part that only one of each group had just begun', (t) => {
+  const site = guardFixtures.makeSite(2, 6);
+  let groups = 0;
+  for (let round = 0; round < 8; round += 1) {
+    site.send(0, `rare-${round}`, ['rare']);
+    const rare = site.begin(0, `rare-${round}`);
+    const others = Array.from({ length: 6 }, (_, index) => {
+      site.send(1, `other-${round}-${index}`, [`other-${round}-${index}`]);
+      return site.begin(1, `other-${round}-${index}`);
+    });
+    const other = others.find((upstreamId) => upstreamId !== rare) ?? null;
+    if (rare !== null && other !== null) {
+      groups += 1;
+      site.crash(other);
+      site.crash(rare);
+    }
+    // The request is not sent again, so that it is at no other upstream of the next group.
+    site.cancel(0, `rare-${round}`);
+    site.wait(1_000);
+  }
+  t.true(groups >= 3);
+  t.false(site.isHeldBack(0, ['rare']));
+  t.false(site.isHeldBack(1, ['rare']));
+});
+
 test('a router that joins learns the guards in force, and keeps them when all others leave', (t) => {
   const site = guardFixtures.makeSite(2, 5);
   crashUpstreams(site, 12);
--- a/packages/core/src/routed/guardRules.ts
+++ b/packages/core/src/routed/guardRules.ts
@@ -106,14 +106,28 @@
     ? countSeparate(begunAtMs, COMMON_CAUSE_AFTER_SURVIVAL_MS) >= MIN_AFTER_SURVIVAL
     : isEnough(begunAtMs, MIN_BEGUN) || isEnough(presentAtMs, MIN_PRESENT);
 
-const isDue = (tally: Tally): boolean =>
-  (!guardState.isPartKey(tally.key) || tally.requests.size >= MIN_REQUESTS) &&
-  hasEnoughCrashes(
-    Array.from(tally.begunAtMs.values()),
-    Array.from(tally.crashes.values()),
-    tally.hasSurvived,
+/**
+ * Returns whether another upstream crashed in the same moment without a request with the key: what they have in common
+ * is then not the key.
+ */
+const hasOtherCause = (state: guardState.GuardState, key: string, atMs: number): boolean =>
+  state.crashes.some(
+    (record) => Math.abs(record.atMs - atMs) < COMMON_CAUSE_MS && !record.keys.has(key),
   );
 
+const isDue = (state: guardState.GuardState, tally: Tally): boolean => {
+  const isLikely = (begunAtMs: readonly number[], presentAtMs: readonly number[]): boolean =>
+    hasEnoughCrashes(begunAtMs, presentAtMs, tally.hasSurvived);
+  const begunAtMs = Array.from(tally.begunAtMs.values());
+  const presentAtMs = Array.from(tally.crashes.values());
+  const isOwn = (atMs: number): boolean => !hasOtherCause(state, tally.key, atMs);
+  return (
+    (!guardState.isPartKey(tally.key) || tally.requests.size >= MIN_REQUESTS) &&
+    isLikely(begunAtMs, presentAtMs) &&
+    isLikely(begunAtMs.filter(isOwn), presentAtMs.filter(isOwn))
+  );
+};
+
 /** Returns whether a key may have to be guarded, before it is known which crashes others explain. */
 export const mayBeDue = (state: guardState.GuardState, key: string): boolean => {
   const survivedAtMs = guardState.findSurvival(state, key)?.atMs ?? null;
@@ -180,7 +194,7 @@
   const examined = new Set<string>();
   for (;;) {
     const due = Array.from(collectTallies(state, incidents).values())
-      .filter((tally) => !examined.has(tally.key) && isDue(tally))
+      .filter((tally) => !examined.has(tally.key) && isDue(state, tally))
       .toSorted((a, b) => compareTallies(a, b) || compareKeys(a, b));
     const [best] = due;
     if (best === undefined || findings.length >= MAX_FINDINGS) {
