--- a/packages/router/src/closeServer.ts
+++ b/packages/router/src/closeServer.ts
@@ -1,11 +1,10 @@
 import * as shared from '@jayrock/shared';
 import type * as fastify from 'fastify';
-import * as rpcClient from './peers/rpcClient.js';
 
-/** Closes a listener; connections that are still open when their peers have given their calls up are cut off. */
-export const closeServer = async (server: fastify.FastifyInstance): Promise<void> => {
+/** Closes a listener; connections that are still open after a time in milliseconds are cut off. */
+export const closeServer = async (server: fastify.FastifyInstance, waitMs = 0): Promise<void> => {
   const closed = server.close();
-  await Promise.race([closed, shared.delay.wait(rpcClient.CALL_TIMEOUT_MS)]);
+  await Promise.race([closed, shared.delay.wait(waitMs)]);
   server.server.closeAllConnections();
   await closed;
 };
--- a/packages/router/src/routed/startRoutedRouter.ts
+++ b/packages/router/src/routed/startRoutedRouter.ts
@@ -331,8 +331,7 @@
     parts.peers.stop();
     parts.loop.stop();
     parts.barrier.stop();
-    listeners[0]?.server.closeAllConnections();
-    await Promise.all(listeners.map(closeServer.closeServer));
+    await Promise.all(listeners.map((server) => closeServer.closeServer(server)));
     await Promise.all([parts.pools.close(), parts.client.close(), source.stop()]);
   };
   const router: RunningRoutedRouter = {
--- a/packages/router/src/startRouter.ts
+++ b/packages/router/src/startRouter.ts
@@ -239,7 +239,12 @@
     interTokens.stop();
     loop.stop();
     barrier.stop();
-    await Promise.all([peerListener, status].map(closeServer.closeServer));
+    // Other routers wait for the answers to their calls.
+    await Promise.all(
+      [peerListener, status].map((server) =>
+        closeServer.closeServer(server, rpcClient.CALL_TIMEOUT_MS),
+      ),
+    );
     await Promise.all([pools.close(), services.client.close(), platform.close()]);
   };
   return shared.outcome.makeOk({
