fix(router): an upstream that is paused again by its own backlog does not count as silent

Found by reading: the resume after a pause may hand on bytes that fill the caller's buffer again, and the time-out for silence then ran while the router itself read nothing. No play or test showed it; the tests of slow callers pass as before.

--- a/packages/router/src/routed/routedAttempt.ts
+++ b/packages/router/src/routed/routedAttempt.ts
@@ -188,7 +188,8 @@
     pending.response.once('drain', () => {
       isPaused = false;
       controller?.resume();
-      if (!isClosed) {
+      // Bytes that were held back may have filled the buffer again.
+      if (!isClosed && !isPaused) {
         restartTimeout(send.gapTimeoutMs);
       }
     });
