feat(router): read and log the limit that an upstream names

An answer's limit is now kept with its upstream and logged when it changes ('upstream rate limit changed'; gauge jayrock_upstreams_rate_limited). Placement does not use it yet. An answer that reports a request as misdirected comes from another process and is ignored.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -39,6 +39,11 @@
     readonly upstreamId: string;
     readonly report: shared.hosts.LoadReport;
   };
+  /** An answer of an upstream names a limit in requests per second for all routers together or, if null, none. */
+  readonly rateLimitObserved: {
+    readonly upstreamId: string;
+    readonly requestsPerSecond: number | null;
+  };
   /** Time between tokens of an upstream's answers in flight, relative to its usual value. */
   readonly interTokenRatioReported: {
     readonly upstreamId: string;
--- a/packages/core/src/reduce.ts
+++ b/packages/core/src/reduce.ts
@@ -8,6 +8,7 @@
 import * as ledgerState from './ledger/ledgerState.js';
 import * as membership from './membership/membership.js';
 import * as orders from './orders/orders.js';
+import * as rateLimitHandlers from './rateLimits/rateLimitHandlers.js';
 import * as routedAnswers from './routed/routedAnswers.js';
 import * as routedArrival from './routed/routedArrival.js';
 import * as routedCrashes from './routed/routedCrashes.js';
@@ -37,6 +38,7 @@
   ...ledgerState.HANDLERS,
   ...membership.HANDLERS,
   ...orders.HANDLERS,
+  ...rateLimitHandlers.HANDLERS,
   ...routedAnswers.HANDLERS,
   ...routedArrival.HANDLERS,
   ...routedCrashes.HANDLERS,
--- a/packages/core/src/upstreamState.ts
+++ b/packages/core/src/upstreamState.ts
@@ -1,6 +1,7 @@
 import type * as shared from '@jayrock/shared';
 import * as average from './average.js';
 import * as budget from './budget.js';
+import * as rateLimit from './rateLimits/rateLimit.js';
 
 /** Outlier-ejection state of an upstream. */
 export type UpstreamHealth = 'ok' | 'ejected' | 'probation';
@@ -46,6 +47,8 @@
   readonly ejectionEndsAtMs: number;
   readonly ejectionCount: number;
   readonly retryBudget: budget.Budget;
+  /** Limit that the upstream names in its answers. */
+  readonly rateLimit: rateLimit.RateLimit;
 }
 
 /** Number of slots assumed before the first load report. */
@@ -94,6 +97,7 @@
   ejectionEndsAtMs: 0,
   ejectionCount: 0,
   retryBudget: budget.makeBudget(UPSTREAM_RETRY_RULE),
+  rateLimit: rateLimit.NO_LIMIT,
 });
 
 /**
--- a/packages/router/__tests__/routedAttempt.spec.ts
+++ b/packages/router/__tests__/routedAttempt.spec.ts
@@ -118,6 +118,7 @@
       handleActivity: () => undefined,
       handleClose: () => undefined,
       handleLoad: () => undefined,
+      handleRateLimit: () => undefined,
     },
   );
   return { running, failures, ends };
--- a/packages/router/src/routed/routedAttempt.ts
+++ b/packages/router/src/routed/routedAttempt.ts
@@ -36,6 +36,8 @@
   readonly handleClose: () => void;
   /** The answer's headers carry a load report. */
   readonly handleLoad: (report: NonNullable<platform.answerHeaders.AnswerHeaders['load']>) => void;
+  /** An answer names a limit in requests per second or, if it is null, none. */
+  readonly handleRateLimit: (requestsPerSecond: number | null) => void;
 }
 
 /** Size and duration of a forwarded stream. */
@@ -260,6 +262,10 @@
     if (parsed.load !== null) {
       listener.handleLoad(parsed.load);
     }
+    // The process at the address is another one if it reports the request as misdirected.
+    if (status !== MISDIRECTED_STATUS) {
+      listener.handleRateLimit(parsed.requestsPerSecond);
+    }
     if (parsed.isNotRun) {
       const failure = status === MISDIRECTED_STATUS ? 'misdirected' : 'turnedAway';
       fail({ failure, isUnsent: false, isNotRun: true, reason: `status ${status}` });
--- a/packages/router/src/routed/routedRunners.ts
+++ b/packages/router/src/routed/routedRunners.ts
@@ -154,6 +154,8 @@
       handleClose: () => context.reachability.recordEnd(upstreamId),
       handleLoad: (report) =>
         context.runtime.dispatch({ type: 'loadReported', upstreamId, report }),
+      handleRateLimit: (requestsPerSecond) =>
+        context.runtime.dispatch({ type: 'rateLimitObserved', upstreamId, requestsPerSecond }),
     },
   );
   pending.attempts.set(attemptId, running);
--- a/packages/router/src/routed/startRoutedRouter.ts
+++ b/packages/router/src/routed/startRoutedRouter.ts
@@ -121,6 +121,9 @@
         requests_queued: state.services.reduce((sum, service) => sum + service.queue.size, 0),
         upstreams: state.upstreams.size,
         upstreams_ejected: state.upstreams.count((upstream) => upstream.health !== 'ok'),
+        upstreams_rate_limited: state.upstreams.count((upstream) =>
+          core.rateLimit.isLimited(upstream.rateLimit),
+        ),
         peers: core.memberTable.listActiveMembers(state.members).length,
         store_calls: source.countCalls(),
         memory_bytes: process.memoryUsage().rss,
