--- a/packages-private/measure/__tests__/routedSite.ts
+++ b/packages-private/measure/__tests__/routedSite.ts
@@ -183,6 +183,24 @@
 export const waitUntilReady = ({ ready }: SiteRouter): Promise<void> =>
   standIns.control.waitUntil(async () => (await fetch(`http://${ready}/readyz`)).ok);
 
+/** Writes the entry of an upstream to the store. */
+export const writeUpstreamEntry = (
+  store: standIns.platformStore.PlatformStore,
+  { id, address }: standIns.routedUpstream.RoutedUpstream,
+  change: object = {},
+): void =>
+  store.put(`${platform.wire.KEYS.upstreams}${id}`, {
+    service: 'desk',
+    address,
+    zone: 'a',
+    version: 'v1',
+    slots: 8,
+    state: 'ready',
+    sequence: 1,
+    born: 1_700_000_000_000,
+    ...change,
+  });
+
 /** Starts a store, upstreams and a router on one loopback address. */
 export const startRoutedSite = async (
   ip: string,
@@ -195,23 +213,7 @@
       standIns.routedUpstream.startRoutedUpstream(`u-${index}`),
     ),
   );
-  const registerUpstream = (index: number, change: object = {}): void => {
-    const upstream = upstreams[index];
-    if (upstream !== undefined) {
-      store.put(`${platform.wire.KEYS.upstreams}${upstream.id}`, {
-        service: 'desk',
-        address: upstream.address,
-        zone: 'a',
-        version: 'v1',
-        slots: 8,
-        state: 'ready',
-        sequence: 1,
-        born: 1_700_000_000_000,
-        ...change,
-      });
-    }
-  };
-  upstreams.forEach((_, index) => registerUpstream(index));
+  upstreams.forEach((upstream) => writeUpstreamEntry(store, upstream));
   store.put(platform.wire.KEYS.configuration, makeConfiguration(1));
   const started = await startSiteRouter(ip, store.address, bounds);
   const agent = new http.Agent({ keepAlive: true });
@@ -219,7 +221,12 @@
     store,
     upstreams,
     ...started,
-    registerUpstream,
+    registerUpstream: (index, change) => {
+      const upstream = upstreams[index];
+      if (upstream !== undefined) {
+        writeUpstreamEntry(store, upstream, change);
+      }
+    },
     call: (call) => sendCall(started.callers, call, agent),
     sendAndDisconnect: async (call) => {
       const request = openRequest(started.callers, call, new http.Agent());
--- a/packages-private/stand-ins/src/routedUpstream.ts
+++ b/packages-private/stand-ins/src/routedUpstream.ts
@@ -70,6 +70,10 @@
   /** Confidence that is sent in the head of a stream; null for none. */
   confidence: number | null;
   behaviour: Behaviour;
+  /** Limit that all answers name, in requests per second; null for none. */
+  requestsPerSecond: number | null;
+  /** Times at which heads of requests arrived, in milliseconds of `performance.now()`. */
+  readonly arrivedAtMs: readonly number[];
   /** Number of requests whose connection is open and whose answer has not ended. */
   readonly countOpen: () => number;
   /** Answers the requests that hang, in the same turn of the event loop. */
@@ -266,15 +270,21 @@
   const responses = new Set<http.ServerResponse>();
   const received: ReceivedRequest[] = [];
   const arrived: string[] = [];
+  const arrivedAtMs: number[] = [];
   const cancelled: string[] = [];
   let openCount = 0;
   let held: (() => void)[] = [];
-  const state: { confidence: number | null; behaviour: Behaviour } = {
+  const state: Pick<RoutedUpstream, 'confidence' | 'behaviour' | 'requestsPerSecond'> = {
     confidence: null,
+    requestsPerSecond: null,
     behaviour: { kind: 'answer', status: 200, body: `from ${id}` },
   };
   const server = http.createServer((request, response) => {
     arrived.push(String(request.headers[H.requestId]));
+    arrivedAtMs.push(performance.now());
+    if (state.requestsPerSecond !== null) {
+      response.setHeader(H.rateLimit, String(state.requestsPerSecond));
+    }
     openCount += 1;
     responses.add(response);
     response.once('close', () => {
@@ -321,6 +331,7 @@
     address: `127.0.0.1:${port}`,
     received,
     arrived,
+    arrivedAtMs,
     cancelled,
     countOpen: () => openCount,
     answerHeld: (behaviour: Behaviour) => {
