feat(router): limits that engines and plain services name

They name it in x-requests-per-second, in every answer; the stand-ins do too. Same permits as for routed requests.

--- a/packages-private/stand-ins/src/control.ts
+++ b/packages-private/stand-ins/src/control.ts
@@ -17,6 +17,8 @@
   blockedSources: ReadonlySet<string>;
   /** Delay that is added to each call, in milliseconds. */
   delayMs: number;
+  /** Limit that all answers name, in requests per second; null for none. */
+  requestsPerSecond: number | null;
 }
 
 /** Makes the faults of a healthy stand-in. */
@@ -28,6 +30,7 @@
   dropsAnswers: false,
   blockedSources: new Set(),
   delayMs: 0,
+  requestsPerSecond: null,
 });
 
 /** Waits for a time in milliseconds. */
@@ -54,6 +57,15 @@
   });
 };
 
+/** Names the limit in all answers of an engine or a plain service. */
+export const addRateLimitHook = (server: fastify.FastifyInstance, faults: Faults): void => {
+  server.addHook('onRequest', async (_, reply) => {
+    if (faults.requestsPerSecond !== null) {
+      reply.raw.setHeader('x-requests-per-second', String(faults.requestsPerSecond));
+    }
+  });
+};
+
 /** A stand-in that listens on loopback. */
 export interface StandIn {
   readonly address: string;
--- a/packages-private/stand-ins/src/engine.ts
+++ b/packages-private/stand-ins/src/engine.ts
@@ -25,6 +25,8 @@
   readonly starts: ReadonlyMap<string, number>;
   /** Ids of the requests that were admitted to a batch. */
   readonly startedRequests: ReadonlySet<string>;
+  /** Times at which chat requests arrived, in milliseconds of `performance.now()`. */
+  readonly arrivedAtMs: readonly number[];
   /** Returns the number of poison requests that were started here. */
   readonly getPoisonCount: () => number;
   /** Stops sending on all connections that are open now, without closing them; new ones work. */
@@ -102,6 +104,7 @@
   let waiting: RunningRequest[] = [];
   const sockets = new Set<net.Socket>();
   const silentSockets = new WeakSet<net.Socket>();
+  const arrivedAtMs: number[] = [];
   const startedRequests = new Set<string>();
   const isSilent = (response: http.ServerResponse): boolean =>
     response.socket !== null && silentSockets.has(response.socket);
@@ -157,6 +160,7 @@
   const makeServer = (): fastify.FastifyInstance => {
     const server = fastify.fastify({ forceCloseConnections: true });
     control.addBlockHook(server, faults);
+    control.addRateLimitHook(server, faults);
     server.server.on('connection', (socket: net.Socket) => {
       sockets.add(socket);
       socket.once('close', () => sockets.delete(socket));
@@ -178,6 +182,7 @@
       return { loaded };
     });
     server.post('/v1/chat/completions', async (request, reply) => {
+      arrivedAtMs.push(performance.now());
       const body = request.body as ChatBody;
       const prompt = body.messages.map((message) => message.content).join('\n');
       if (prompt.includes(POISON_TEXT)) {
@@ -232,6 +237,7 @@
     orders,
     getLoaded: () => loaded,
     startedRequests,
+    arrivedAtMs,
     getPoisonCount: () => state.poisonCount,
     silenceConnections: () => sockets.forEach((socket) => silentSockets.add(socket)),
     setLoaded: (versions) => {
--- a/packages-private/stand-ins/src/plainService.ts
+++ b/packages-private/stand-ins/src/plainService.ts
@@ -6,6 +6,8 @@
   readonly id: string;
   /** Number of runs, by request id. */
   readonly runCounts: ReadonlyMap<string, number>;
+  /** Times at which calls arrived, in milliseconds of `performance.now()`. */
+  readonly arrivedAtMs: readonly number[];
   /** Characters that are added to each answer. */
   padding: string;
 }
@@ -23,11 +25,14 @@
 export const startPlainService = async (options: PlainOptions): Promise<PlainService> => {
   const faults = control.makeFaults();
   const runCounts = options.runCounts ?? new Map<string, number>();
+  const arrivedAtMs: number[] = [];
   const state = { padding: '' };
   const server = fastify.fastify({ forceCloseConnections: true });
   control.addBlockHook(server, faults);
+  control.addRateLimitHook(server, faults);
   server.get('/load', async () => ({ running: 0, waiting: 0, slots: 64, loaded: [] }));
   server.post('/*', async (request, reply) => {
+    arrivedAtMs.push(performance.now());
     if (faults.isDown) {
       return reply.code(500).send({ error: 'failing' });
     }
@@ -47,6 +52,7 @@
     address,
     faults,
     runCounts,
+    arrivedAtMs,
     close: async () => {
       server.server.closeAllConnections();
       await server.close();
--- a/packages/router/src/upstreams/attemptRunner.ts
+++ b/packages/router/src/upstreams/attemptRunner.ts
@@ -36,6 +36,11 @@
     });
   };
 
+const makeRateLimitHandler =
+  (context: Context, { upstreamId }: StartEffect): chatAttempt.AttemptListener['handleRateLimit'] =>
+  (requestsPerSecond) =>
+    context.runtime.dispatch({ type: 'rateLimitObserved', upstreamId, requestsPerSecond });
+
 const forwardEvents = (
   pending: Pending,
   effect: StartEffect,
@@ -90,6 +95,7 @@
         pending.shape.tokensIn * FIRST_BYTE_MS_PER_TOKEN,
     },
     {
+      handleRateLimit: makeRateLimitHandler(context, effect),
       handleFirstToken: () => {
         isMonitored = true;
         context.interTokens.recordStart(effect.upstreamId);
@@ -141,6 +147,7 @@
       timeoutMs: context.settings.limits.firstByteTimeoutMs,
     },
     {
+      handleRateLimit: makeRateLimitHandler(context, effect),
       handleAnswer: (answer) => {
         pending.attempts.delete(effect.attemptId);
         pending.versionId = effect.versionId;
--- a/packages/router/src/upstreams/callAttempt.ts
+++ b/packages/router/src/upstreams/callAttempt.ts
@@ -1,5 +1,6 @@
 import type * as connectionPools from './connectionPools.js';
 import * as attemptFailure from './attemptFailure.js';
+import * as rateLimitHeader from './rateLimitHeader.js';
 import type * as replySink from '../callers/replySink.js';
 
 /** One attempt to call a plain service; the timeout is in milliseconds. */
@@ -11,8 +12,10 @@
   readonly timeoutMs: number;
 }
 
-/** Callbacks of a call attempt; at most one of them is invoked. */
+/** Callbacks of a call attempt; at most one of those that end it is invoked. */
 export interface CallListener {
+  /** An answer has arrived that names a limit in requests per second or, if it is null, none. */
+  readonly handleRateLimit: (requestsPerSecond: number | null) => void;
   readonly handleAnswer: (answer: replySink.CallAnswer) => void;
   readonly handleFailure: (failure: attemptFailure.AttemptFailure) => void;
 }
@@ -70,6 +73,7 @@
         body: attempt.body,
         signal: controller.signal,
       });
+      listener.handleRateLimit(rateLimitHeader.readRateLimit(response.headers));
       const body = await readText(response.body);
       if (body === null) {
         fail({ failure: 'garbage', isUnsent: false });
--- a/packages/router/src/upstreams/chatAttempt.ts
+++ b/packages/router/src/upstreams/chatAttempt.ts
@@ -2,9 +2,12 @@
 import * as connectionPools from './connectionPools.js';
 import * as answerReader from './answerReader.js';
 import * as attemptFailure from './attemptFailure.js';
+import * as rateLimitHeader from './rateLimitHeader.js';
 
 /** Callbacks of a chat attempt. */
 export interface AttemptListener {
+  /** An answer has begun that names a limit in requests per second or, if it is null, none. */
+  readonly handleRateLimit: (requestsPerSecond: number | null) => void;
   readonly handleFirstToken: () => void;
   /** Returns a promise to wait for before reading on, if the caller is slow. */
   readonly handleEvents: (events: readonly string[]) => Promise<void> | undefined;
@@ -140,6 +143,7 @@
   const run = async (): Promise<void> => {
     try {
       const response = await sendRequest(pools, attempt, controller.signal);
+      listener.handleRateLimit(rateLimitHeader.readRateLimit(response.headers));
       if (response.statusCode !== 200) {
         response.body.dump().catch(() => undefined);
         fail({ failure: STATUS_FAILURES.get(response.statusCode) ?? 'failed', isUnsent: false });
