test(measure): a store that comes back from an older copy (failing)

The stand-in of the platform's store can go back to a copy: later writes and leases are gone, revisions are given out again, its era rises, watches that wait are cut.

--- a/packages-private/stand-ins/src/platformStore.ts
+++ b/packages-private/stand-ins/src/platformStore.ts
@@ -39,6 +39,12 @@
   readonly get: (key: string) => string | null;
   /** Compacts the history: a watch from an older revision fails with 410 and has to read again. */
   readonly compact: () => void;
+  /** Returns the number of keys with a prefix. */
+  readonly countKeys: (prefix: string) => number;
+  /** Takes a copy of the items, to which `restore` goes back. */
+  readonly saveCopy: () => void;
+  /** Goes back to the copy: later writes and all leases are gone, and revisions go back. */
+  readonly restore: () => void;
   readonly countCalls: () => number;
 }
 
@@ -54,6 +60,9 @@
   let oldestRevision = 0;
   let calls = 0;
   let leases = 0;
+  let firstLease = 0;
+  let era = 1;
+  let copy: { readonly items: readonly Item[]; readonly revision: number } | null = null;
   const write = (key: string, value: string, lease: number): void => {
     items.set(key, { key, value, rev: revision, lease });
     events.push({ key, value, rev: revision });
@@ -65,6 +74,9 @@
   };
   const server = fastify.fastify({ forceCloseConnections: true });
   control.addBlockHook(server, faults);
+  server.addHook('onSend', async (_, reply) => {
+    reply.header(platform.wire.HEADERS.era, String(era));
+  });
   server.addHook('preHandler', async (request, reply) => {
     calls += 1;
     if (faults.isSilent) {
@@ -98,8 +110,13 @@
     const query = request.query as { prefix: string; after: string; wait_ms: string };
     const after = Number(query.after);
     const endMs = performance.now() + Number(query.wait_ms);
+    const startEra = era;
     for (;;) {
-      if (after < oldestRevision) {
+      if (era !== startEra) {
+        request.raw.socket.destroy();
+        return reply;
+      }
+      if (after < oldestRevision || after > revision) {
         return reply.code(410).send({});
       }
       const found = events.filter(
@@ -131,7 +148,11 @@
     leases += 1;
     return { lease: leases, ttl_ms: (request.body as { ttl_ms: number }).ttl_ms };
   });
-  server.post(`${platform.wire.STORE_PATHS.keep}:id`, async () => ({ ttl_ms: 1_000 }));
+  server.post(`${platform.wire.STORE_PATHS.keep}:id`, async (request, reply) =>
+    Number((request.params as { readonly id: string }).id) > firstLease
+      ? { ttl_ms: 1_000 }
+      : reply.code(404).send({}),
+  );
   const address = await control.listenOn(server, 0);
   return {
     address,
@@ -153,6 +174,22 @@
       oldestRevision = revision;
       events = [];
     },
+    countKeys: (prefix) => Array.from(items.keys()).filter((key) => key.startsWith(prefix)).length,
+    saveCopy: () => {
+      copy = { items: Array.from(items.values()).filter(({ lease }) => lease === 0), revision };
+    },
+    restore: () => {
+      if (copy === null) {
+        throw new Error('no copy was saved');
+      }
+      items.clear();
+      copy.items.forEach((item) => items.set(item.key, item));
+      ({ revision } = copy);
+      oldestRevision = revision;
+      events = [];
+      firstLease = leases;
+      era += 1;
+    },
     countCalls: () => calls,
     close: async () => {
       faults.isSilent = false;
--- a/packages/stores/src/prefixStore.ts
+++ b/packages/stores/src/prefixStore.ts
@@ -1,8 +1,15 @@
 import type * as shared from '@jayrock/shared';
 import type * as keyValueStore from './keyValueStore.js';
 
+/**
+ * Number that rises each time the store goes back to an older copy of its data, after which it gives out revisions
+ * again; null for a store that never does.
+ */
+export type StoreEra = number | null;
+
 /** Entries under a prefix, and the store revision after which to wait for changes. */
 export interface PrefixSnapshot {
+  readonly era: StoreEra;
   readonly entries: readonly keyValueStore.KeyValueEntry[];
   readonly revision: number;
 }
@@ -16,6 +23,8 @@
 
 /** Changes after a revision, and the revision after which to wait for the next ones. */
 export interface PrefixChanges {
+  /** Era of the revisions; if it is not that of the revision that was waited on, changes may be missing. */
+  readonly era: StoreEra;
   readonly changes: readonly PrefixChange[];
   readonly revision: number;
 }
