fix(router): guards survive a store that goes back to an older copy

What callers would see: after a drill and a stop of all routers, requests that crash upstreams reach them again; or sound requests are refused by a guard that had ended and that the copy still has. Cause: what a router had seen stored counted as stored for good, and any record that it read as in force. Change: at a new era a router forgets what is stored, takes no guard from the copy that has ended for it, and writes or removes what differs from what it last had to record, in the usual order of writers. Before: with the forgetting left out (compiled file) the new test of guardRecords.spec.ts fails; after: it passes.

--- a/packages/router/__tests__/guardRecords.spec.ts
+++ b/packages/router/__tests__/guardRecords.spec.ts
@@ -119,3 +119,29 @@
   records.handleRecord(key, '{"id":');
   t.deepEqual(listGuards(runtime), []);
 });
+
+test('a guard that an older copy of the store lacks is written again, and one that has ended is not taken from it', async (t) => {
+  const { store, transactions } = makeStore();
+  const { runtime, records } = makeRouter('a', store);
+  runtime.dispatch({ type: 'guardNewsReceived', news: NEWS });
+  await shared.delay.wait(60);
+  const [{ key, value } = { key: '', value: '' }] = transactions[0]?.puts ?? [];
+  records.handleRecord(key, value);
+  records.forgetRecords();
+  records.rewriteRecords();
+  await shared.delay.wait(60);
+  t.is(transactions[1]?.puts[0]?.key, key);
+  records.handleRecord(key, value);
+  runtime.dispatch({
+    type: 'guardNewsReceived',
+    news: { ...core.guardNews.NO_NEWS, survivals: [{ key: GUARD_ID, ageMs: 0 }] },
+  });
+  await shared.delay.wait(60);
+  records.handleRecord(key, null);
+  records.forgetRecords();
+  records.handleRecord(key, value);
+  records.rewriteRecords();
+  t.deepEqual(listGuards(runtime), []);
+  await shared.delay.wait(60);
+  t.deepEqual(transactions.at(-1)?.deletes, [key]);
+});
--- a/packages/router/src/routed/guardRecords.ts
+++ b/packages/router/src/routed/guardRecords.ts
@@ -40,6 +40,10 @@
   readonly handleRecord: (key: string, value: string | null) => void;
   /** Writes the record of a guard that has begun, or removes that of one that has ended. */
   readonly recordGuard: (effect: core.effects.EffectOf<'recordGuard'>) => void;
+  /** Forgets what is stored, before the records of an older copy to which the store has gone back are applied. */
+  readonly forgetRecords: () => void;
+  /** Writes the guards that the store lacks, and removes those that have ended. */
+  readonly rewriteRecords: () => void;
   readonly stop: () => void;
 }
 
@@ -90,6 +94,9 @@
 ): GuardRecords => {
   const stored = new Set<string>();
   const timers = new Map<string, NodeJS.Timeout>();
+  let isRestoring = false;
+  /** What this router last had to record of each guard, by key. */
+  const wanted = new Map<string, core.effects.EffectOf<'recordGuard'>>();
   const getRank = (): number => {
     const { members, self } = runtime.getState();
     return core.memberTable.listActiveMembers(members).filter((peer) => peer.id < self.routerId)
@@ -109,6 +116,17 @@
     );
     log.info({ guard: id, isInForce: news !== null, outcome: committed }, 'guard recorded');
   };
+  const scheduleWrite = (key: string, effect: core.effects.EffectOf<'recordGuard'>): void => {
+    clearTimeout(timers.get(key));
+    const delayMs = delays.settleMs + getRank() * delays.writerMs;
+    const timer = setTimeout(() => {
+      timers.delete(key);
+      writeRecord(key, effect).catch((error: unknown) =>
+        log.error({ error }, 'guard not recorded'),
+      );
+    }, delayMs);
+    timers.set(key, timer.unref());
+  };
   return {
     handleRecord: (key, value) => {
       if (!key.startsWith(GUARD_PREFIX)) {
@@ -119,6 +137,10 @@
         return;
       }
       stored.add(key);
+      if (isRestoring && wanted.get(key)?.news === null) {
+        // The copy has a guard that has ended since.
+        return;
+      }
       const record = decodeRecord(value);
       if (record === null) {
         log.warn({ key }, 'invalid record of a guard');
@@ -128,15 +150,20 @@
     },
     recordGuard: (effect) => {
       const key = `${GUARD_PREFIX}${shared.hash.hashDigest(effect.id).slice(0, 32)}`;
-      clearTimeout(timers.get(key));
-      const delayMs = delays.settleMs + getRank() * delays.writerMs;
-      const timer = setTimeout(() => {
-        timers.delete(key);
-        writeRecord(key, effect).catch((error: unknown) =>
-          log.error({ error }, 'guard not recorded'),
-        );
-      }, delayMs);
-      timers.set(key, timer.unref());
+      wanted.set(key, effect);
+      scheduleWrite(key, effect);
+    },
+    forgetRecords: () => {
+      isRestoring = true;
+      stored.clear();
+    },
+    rewriteRecords: () => {
+      isRestoring = false;
+      wanted.forEach((effect, key) => {
+        if ((effect.news !== null) !== stored.has(key)) {
+          scheduleWrite(key, effect);
+        }
+      });
     },
     stop: () => timers.forEach((timer) => clearTimeout(timer)),
   };
--- a/packages/router/src/routed/storeSource.ts
+++ b/packages/router/src/routed/storeSource.ts
@@ -87,10 +87,14 @@
         },
         handleOwnKey,
         {
-          begin: canaries.forgetRecords,
+          begin: () => {
+            canaries.forgetRecords();
+            guards.forgetRecords();
+          },
           end: () => {
             registration?.handleRestored();
             canaries.rewriteRecords();
+            guards.rewriteRecords();
           },
         },
       );
