fix(core): a very low limit does not stop all requests of the product's own platform

Found by reading: admission refuses before a permit is requested, so with every upstream of a model limited below one request a deadline nothing was ever sent, and no answer could show the end of the limit. A refusal now requests permits, and a permit that is held makes the expected wait 0. Test: "a low limit of all upstreams of a model lets a request through now and then".

--- a/packages/core/__tests__/rateLimits.spec.ts
+++ b/packages/core/__tests__/rateLimits.spec.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import * as fc from 'fast-check';
 import * as core from '../src/index.js';
+import * as fixtures from './fixtures.js';
 import * as limitedFleet from './limitedFleet.js';
 import * as routedFixtures from './routedFixtures.js';
 
@@ -120,3 +121,18 @@
   driver.send({ type: 'hostChanged', host: routedFixtures.makeHost('u1', { bornAtMs: 2 }) });
   t.is(getLimit(), null);
 });
+
+test('a low limit of all upstreams of a model lets a request through now and then', (t) => {
+  const hosts = fixtures.makeHosts(1);
+  const driver = fixtures.makeReadyDriver(undefined, undefined, hosts);
+  driver.send({ type: 'rateLimitObserved', upstreamId: 'engine-0', requestsPerSecond: 0 });
+  const starts = Array.from({ length: 60 }, (_, index) => {
+    const nowMs = index * 500 + 1;
+    driver.send({ type: 'ticked' }, nowMs);
+    return fixtures.sendArrival(driver, `call-${index}`, {}, {}, nowMs);
+  })
+    .flat()
+    .filter((effect) => effect.type === 'startAttempt');
+  // The lowest rate is one request in ten seconds.
+  t.true(starts.length >= 1 && starts.length <= 4, String(starts.length));
+});
--- a/packages/core/src/admission.ts
+++ b/packages/core/src/admission.ts
@@ -11,7 +11,7 @@
 import * as requestState from './requestState.js';
 import * as routerState from './routerState.js';
 import * as routing from './routing.js';
-import type * as transition from './transition.js';
+import * as transition from './transition.js';
 import * as versionId from './versionId.js';
 
 /** Maximum number of queued requests of one customer per service. */
@@ -105,11 +105,21 @@
     return dispatch.placeRequest(current, accepted.request, arrival);
   }
   const overload = checked[0]?.overload;
-  return refusal.refuseArrival(
-    current,
-    arrival.requestId,
-    overload?.code ?? 'overloaded',
-    overload?.retryAfterMs ?? null,
+  // Without a request now and then, a limited upstream could not show that its limit has ended.
+  const requested = requests.reduce(
+    (result, { versionId: id }) =>
+      transition.composeTransition(result, (next) =>
+        permits.requestForQueue(next, id, 0, arrival.nowMs),
+      ),
+    transition.makeTransition(current),
+  );
+  return transition.composeTransition(requested, (next) =>
+    refusal.refuseArrival(
+      next,
+      arrival.requestId,
+      overload?.code ?? 'overloaded',
+      overload?.retryAfterMs ?? null,
+    ),
   );
 };
 
--- a/packages/core/src/rateLimits/permits.ts
+++ b/packages/core/src/rateLimits/permits.ts
@@ -227,8 +227,8 @@
     );
 
 /**
- * Estimates the time until one more request gets a permit, in milliseconds; null if an upstream without a limit can
- * take it, so that no permit is needed.
+ * Estimates the time until one more request gets a permit, in milliseconds, which is 0 if one is left; null if an
+ * upstream without a limit can take it, so that no permit is needed.
  */
 export const estimateWaitMs = (
   current: routerState.RouterState,
@@ -242,6 +242,12 @@
   if (usable.length === 0 || usable.some((upstream) => !rateLimit.isLimited(upstream.rateLimit))) {
     return null;
   }
+  if (
+    queuedCount === 0 &&
+    usable.some(({ rateLimit: limit }) => rateLimit.hasPermit(limit, nowMs))
+  ) {
+    return 0;
+  }
   const ratePerMs = usable.reduce(
     (sum, upstream) => sum + rateLimit.getRatePerMs(upstream.rateLimit),
     0,
