fix(router): the record of a roll-out's later order is not overwritten, nor an era left for an earlier one

Found by reading the change. A record that arrives before its order made a router write that of the order it knew over it (the new test fails with the condition left out). A read that began before the store went back, and was answered late, would have counted as a new era; it is dropped now (no test).

--- /dev/null
+++ b/packages/router/__tests__/canaryRecords.spec.ts
@@ -0,0 +1,39 @@
+import * as core from '@jayrock/core';
+import * as platform from '@jayrock/platform';
+import * as shared from '@jayrock/shared';
+import type * as stores from '@jayrock/stores';
+import test from 'ava';
+import * as pino from 'pino';
+import * as canaryRecords from '../src/routed/canaryRecords.js';
+import * as routerRuntime from '../src/routerRuntime.js';
+
+const RECORD_KEY = `${canaryRecords.OWN_PREFIX}trials/desk`;
+const ORDER_KEY = `${platform.wire.KEYS.rolloutOrders}desk`;
+
+const makeRecord = (to: string, orderRevision: number, stage: string): string =>
+  JSON.stringify({ to, orderRevision, startedAtMs: Date.now(), stage });
+
+test('the record of a later order stays if it arrives before the order', async (t) => {
+  const transactions: stores.keyValueStore.Transaction[] = [];
+  const store = {
+    commit: async (transaction: stores.keyValueStore.Transaction) => {
+      transactions.push(transaction);
+      return shared.outcome.makeOk({ isCommitted: true, revision: 1 });
+    },
+  } as unknown as stores.prefixStore.PrefixStore;
+  const runtime = routerRuntime.makeRuntime(
+    core.routerState.makeState({
+      routerId: 'a',
+      zone: 'a',
+      address: '127.0.0.1:1',
+      ledgerCapacity: 10,
+    }),
+  );
+  const records = canaryRecords.makeCanaryRecords(runtime, store, pino.pino({ level: 'silent' }));
+  const order = JSON.stringify({ service: 'desk', to: 'v2', period_s: 10 });
+  records.handleRecord(RECORD_KEY, makeRecord('v2', 40, 'completed'), 50);
+  records.handleOrder(ORDER_KEY, order, 40);
+  records.handleRecord(RECORD_KEY, makeRecord('v3', 60, 'running'), 70);
+  await shared.delay.wait(10);
+  t.is(transactions.length, 0);
+});
--- a/packages/router/src/routed/canaryRecords.ts
+++ b/packages/router/src/routed/canaryRecords.ts
@@ -86,9 +86,9 @@
     const isSameOrder =
       stored?.orderRevision === order.revision || (mayBeRewritten() && stored?.to === order.to);
     runtime.dispatch({
-      mayBeRewritten: mayBeRewritten(),
       type: 'canaryObserved',
       order,
+      mayBeRewritten: mayBeRewritten(),
       stage: isSameOrder && stored !== undefined ? stored.stage : 'running',
       elapsedMs:
         isSameOrder && stored !== undefined ? Math.max(0, Date.now() - stored.startedAtMs) : 0,
@@ -117,6 +117,13 @@
       log.error({ error }, 'roll-out record not created'),
     );
   };
+  /** Writes the record of an order if the store lacks it or has it in an earlier stage; leaves those of other orders. */
+  const completeRecord = (order: core.canaryState.RolloutOrder): void => {
+    const stored = records.get(order.service);
+    if (stored === undefined || stored.record.orderRevision === order.revision) {
+      createRecord(order);
+    }
+  };
   const refreshRecord = async (service: string): Promise<void> => {
     const key = `${RECORD_PREFIX}${service}`;
     const entry = await store.read(key);
@@ -183,14 +190,14 @@
       const order = orders.get(service);
       if (order !== undefined) {
         reportStage(order);
-        createRecord(order);
+        completeRecord(order);
       }
     },
     forgetRecords: () => records.clear(),
     handleRestored: () => {
       rewrittenUntilMs = performance.now() + REWRITE_MS;
     },
-    rewriteRecords: () => orders.forEach(createRecord),
+    rewriteRecords: () => orders.forEach(completeRecord),
     recordCanaryOutcome: (effect) => {
       writeOutcome(effect).catch((error: unknown) =>
         log.error({ error }, 'roll-out outcome not written'),
--- a/packages/router/src/routed/prefixFeed.ts
+++ b/packages/router/src/routed/prefixFeed.ts
@@ -109,6 +109,10 @@
     if (!snapshot.ok) {
       return snapshot.error;
     }
+    if (era !== null && snapshot.value.era !== null && snapshot.value.era < era) {
+      // A read that began before the store went back, overtaken by a later one.
+      return 'unknown';
+    }
     const isRestored = era !== null && snapshot.value.era !== era;
     if (isRestored) {
       log.warn({ prefix, era: snapshot.value.era }, 'store went back to an older copy');
