test(measure): give the streams of a test as many slots as there are

"streams that end with their connection are complete" sent 30 streams to 16 slots and wanted 200 for all. A request that waits for a slot may be refused, as not run, after half of its target latency (here 200 ms), so the check was wrong wherever the first 16 take longer. The 30 streams still run at once and every assertion stays.

--- a/packages-private/measure/__tests__/cutAnswers.spec.ts
+++ b/packages-private/measure/__tests__/cutAnswers.spec.ts
@@ -42,6 +42,9 @@
 const waitForSend = (site: routedSite.RoutedSite, id: string): Promise<void> =>
   standIns.control.waitUntil(() => countSends(site, id) > 0);
 
+/** Time after which a router has taken up the changed entry of an upstream, in milliseconds. */
+const REGISTERED_MS = 500;
+
 test.serial('a stream whose upstream is silent again and again is completed', async (t) => {
   const site = await startSite(t, '127.0.124.1');
   // The gap target of this route is 300 ms.
@@ -89,6 +92,9 @@
   const site = await startSite(t, '127.0.124.5');
   setBehaviour(site, { kind: 'stream', events: 12, isUnframed: true });
   const ids = Array.from({ length: 30 }, (_, index) => `q${index}`);
+  // Slots for all of them: a request that waits for one may be refused after half of its target latency.
+  site.upstreams.forEach((_, index) => site.registerUpstream(index, { slots: ids.length }));
+  await standIns.control.wait(REGISTERED_MS);
   const responses = await Promise.all(ids.map((id) => sendStream(site, id)));
   responses.forEach((response, index) => {
     t.true(response.isWhole);
