feat(core): log which sessions run on the version of a roll-out

A request of a session that is sent to the new version gets a line with the session, the share and the age of the order; 'roll-out observed' tells how many requests were in flight on the new version before the order was known. The choice of a version has a file of its own.

--- a/packages/core/src/dispatch.ts
+++ b/packages/core/src/dispatch.ts
@@ -11,6 +11,7 @@
 import * as permitWait from './routed/permitWait.js';
 import * as routedRefusal from './routed/routedRefusal.js';
 import * as routedSend from './routed/routedSend.js';
+import * as versionShare from './routed/versionShare.js';
 import * as requestState from './requestState.js';
 import * as routerState from './routerState.js';
 import * as transition from './transition.js';
@@ -168,7 +169,8 @@
   };
   const counted = routedSend.recordSend(next, request, stamp.nowMs);
   const timers = request.routed === null ? makeHedgeTimer(service, running, attempt.id) : [];
-  return transition.makeTransition(counted, start, ...timers);
+  const logged = versionShare.logSessionVersion(current, request, target, stamp.nowMs);
+  return transition.makeTransition(counted, start, ...timers, ...logged);
 };
 
 /**
--- a/packages/core/src/routed/canaryHandlers.ts
+++ b/packages/core/src/routed/canaryHandlers.ts
@@ -17,6 +17,23 @@
   },
 });
 
+/** Counts this router's attempts in flight on the version of an order, or on those that it replaces. */
+const countInFlight = (
+  current: routerState.RouterState,
+  order: canaryState.RolloutOrder,
+  isNew: boolean,
+): number =>
+  current.upstreams
+    .valueSeq()
+    .filter(({ host }) => host.service === order.service && (host.version === order.to) === isNew)
+    .reduce((sum, upstream) => sum + upstream.inFlight, 0);
+
+/** Counts this router's attempts in flight on the versions that a roll-out replaces. */
+export const countPreviousInFlight = (
+  current: routerState.RouterState,
+  canary: canaryState.Canary,
+): number => countInFlight(current, canary.order, false);
+
 /** Adopts a roll-out order and the stage that is recorded for it in the store. */
 const handleCanaryObserved = (
   current: routerState.RouterState,
@@ -42,7 +59,13 @@
   return transition.makeTransition(withCanary(current, next), {
     type: 'log',
     message: 'roll-out observed',
-    fields: { service: order.service, to: order.to, stage, elapsedMs },
+    fields: {
+      service: order.service,
+      to: order.to,
+      stage,
+      elapsedMs,
+      inFlight: countInFlight(current, order, true),
+    },
   });
 };
 
@@ -68,16 +91,6 @@
   );
 };
 
-/** Counts this router's attempts in flight on the versions that a roll-out replaces. */
-export const countPreviousInFlight = (
-  current: routerState.RouterState,
-  canary: canaryState.Canary,
-): number =>
-  current.upstreams
-    .valueSeq()
-    .filter(({ host }) => host.service === canary.order.service && host.version !== canary.order.to)
-    .reduce((sum, upstream) => sum + upstream.inFlight, 0);
-
 /** Interval after which an outcome that the store has not confirmed is written again, in milliseconds. */
 const OUTCOME_RETRY_MS = 800;
 
--- a/packages/core/src/routed/routedPlacement.ts
+++ b/packages/core/src/routed/routedPlacement.ts
@@ -4,11 +4,11 @@
 import * as rateLimit from '../rateLimits/rateLimit.js';
 import * as routerState from '../routerState.js';
 import * as upstreamState from '../upstreamState.js';
-import * as canaryState from './canaryState.js';
 import * as longPrompts from './longPrompts.js';
 import * as prefixCache from './prefixCache.js';
 import * as routedContext from './routedContext.js';
 import * as routedState from './routedState.js';
+import * as versionShare from './versionShare.js';
 
 /** Query for an upstream of a routed request. */
 export interface RoutedQuery {
@@ -77,35 +77,6 @@
 const isEngine = (current: routerState.RouterState, service: string): boolean =>
   (current.routed.routeIndex?.services.get(service)?.engine ?? null) !== null;
 
-/** Returns the key whose hash selects the version during a roll-out: session, shared prompt part or request id. */
-export const getSessionKey = (
-  request: requestState.RequestState,
-  routed: routedState.RoutedState,
-): string => routed.call.session ?? prefixCache.getSharedPartId(routed.call) ?? request.id;
-
-/** Returns whether the service's canary, if any, allows a request to run on an upstream's version. */
-export const isVersionAllowed = (
-  canary: canaryState.Canary | undefined,
-  version: string | undefined,
-  request: requestState.RequestState,
-  routed: routedState.RoutedState,
-  nowMs: number,
-): boolean => {
-  if (canary === undefined) {
-    return true;
-  }
-  const isNew = version === canary.order.to;
-  // A resumed stream stays on the version that began it as long as both versions are in use.
-  if (routed.version !== null && canary.stage === 'running' && !canary.isBad) {
-    return isNew === (routed.version === canary.order.to);
-  }
-  const share = canaryState.getTrafficShare(canary, nowMs, routed.call.session !== null);
-  const hash = shared.hash.hashToFraction(
-    `${canary.order.service}|${getSessionKey(request, routed)}`,
-  );
-  return isNew ? hash < share : hash >= share;
-};
-
 /**
  * Returns whether an upstream is live, not excluded, of an allowed version, within its rate limit and has a free slot. An upstream on which
  * this router runs nothing always counts as having one.
@@ -123,7 +94,7 @@
     upstream.host.state === 'live' &&
     upstreamRest.mayReceive(upstream.rest, upstream.inFlight, nowMs) &&
     !query.excluded.includes(upstream.host.id) &&
-    isVersionAllowed(canary, upstream.host.version, request, routed, nowMs) &&
+    versionShare.isVersionAllowed(canary, upstream.host.version, request, routed, nowMs) &&
     (query.ignoresRateLimits || rateLimit.hasPermit(upstream.rateLimit, nowMs)) &&
     (upstream.inFlight === 0 ||
       upstreamState.estimateLoad(upstream, nowMs) + 1 <= slots + queueSlots)
