fix(core): a session keeps its version in the first half of a roll-out

Cause: a share of the sessions was on the version from the first second, by the hash of the session alone, also those that ran on the old one; no router sees all requests of a session, so none can tell. The log showed the same share at all routers and no request on the version before the order was known, which rules out an unknown order and different shares here. Now the share of sessions is a function of time alone: none in the first half, then as many per second as spend the same part of the exposure in what is left.

--- a/packages/core/__tests__/canaryState.spec.ts
+++ b/packages/core/__tests__/canaryState.spec.ts
@@ -18,6 +18,8 @@
   readonly seed: number;
   /** Answers per second of all routers. */
   readonly rate: number;
+  /** True if all requests are in sessions. */
+  readonly isSession: boolean;
   /** Failure shares of the previous version and, by time and kind, of the new one. */
   readonly oldFailures: number;
   readonly newFailures: (atMs: number, kind: string) => number;
@@ -51,7 +53,7 @@
       canary = core.canaryState.countPooled(canary, nowMs);
       pooledAtMs = nowMs;
     }
-    const isNew = draw() < core.canaryState.getTrafficShare(canary, nowMs);
+    const isNew = draw() < core.canaryState.getTrafficShare(canary, nowMs, load.isSession);
     const kind = KINDS[Math.floor(draw() * KINDS.length)] ?? KINDS[0];
     total += 1;
     exposed += Number(isNew);
@@ -82,6 +84,7 @@
 
 const GOOD: Omit<Load, 'seed'> = {
   rate: 60,
+  isSession: false,
   oldFailures: 0.05,
   newFailures: () => 0.05,
   slowness: () => 1,
@@ -95,6 +98,14 @@
     .forEach((outcome) => t.true((outcome.endedAtMs ?? Infinity) < ORDER.periodMs));
 });
 
+test('a good version completes within its period if all requests are in sessions', (t) => {
+  const outcomes = SEEDS.map((seed) => simulateRollout({ ...GOOD, isSession: true, seed }));
+  t.true(outcomes.filter((outcome) => outcome.isBad).length <= 1);
+  outcomes
+    .filter((outcome) => !outcome.isBad)
+    .forEach((outcome) => t.true((outcome.endedAtMs ?? Infinity) < ORDER.periodMs));
+});
+
 test('a good version whose caches are cold at first completes', (t) => {
   const outcomes = SEEDS.map((seed) =>
     simulateRollout({ ...GOOD, seed, slowness: (_, __, atMs) => (atMs < 5_000 ? 1.25 : 1) }),
@@ -112,6 +123,12 @@
     { ...GOOD, slowness: (_, fraction) => (fraction < 0.5 ? 4 : 1) },
   ],
   ['is slow on one route', { ...GOOD, slowness: (kind) => (kind === 'read|' ? 8 : 1) }],
+  ['fails at once in sessions', { ...GOOD, isSession: true, newFailures: () => 0.4 }],
+  [
+    'fails late in sessions',
+    { ...GOOD, isSession: true, newFailures: (atMs) => (atMs > 11_000 ? 0.5 : 0.05) },
+  ],
+  ['is slow in sessions', { ...GOOD, isSession: true, slowness: () => 8 }],
 ];
 
 BAD.forEach(([name, load]) => {
--- a/packages/core/src/routed/canaryState.ts
+++ b/packages/core/src/routed/canaryState.ts
@@ -84,8 +84,13 @@
 // version has not yet had, so evidence cannot limit the exposure before the end; only the schedule and the count of
 // requests do. The constants leave headroom for a load near the end that is 50 % above the average.
 
-/** Share of the sessions on the version before the ramp, relative to the exposure share. */
+/** Share of the requests on the version before the ramp, relative to the exposure share. */
 const CANARY_PART = 0.45;
+/**
+ * Part of the period in which no session runs on the version, so that sessions in progress keep theirs. No router sees
+ * all requests of a session, so none can tell a new one from one in progress.
+ */
+const SESSION_START_PART = 0.5;
 /** Part of the period in which the share ramps up to all sessions, relative to the exposure share. */
 const RAMP_PART = 0.1;
 /** Part of the period that remains when all sessions are on the version, relative to the exposure share. */
@@ -190,9 +195,16 @@
 };
 
 /**
- * Returns the share of the requests, or of the sessions, that run on the version, from 0 to 1. Sessions get no part of
- * the early share, which falls again, since they would change their version twice.
+ * Computes the share of the sessions on the version before the ramp, from 0 to 1. It depends on the time alone, so that
+ * all routers decide alike, and spends in the rest of the period what other requests spend in all of it. Sessions get no
+ * part of the early share, which falls again.
  */
+const computeSessionShare = (canary: Canary, nowMs: number): number =>
+  computeProgress(canary, nowMs) < SESSION_START_PART
+    ? 0
+    : Math.min(1, (canary.exposure.share * CANARY_PART) / (1 - SESSION_START_PART));
+
+/** Returns the share of the requests, or of the sessions, that run on the version, from 0 to 1. */
 export const getTrafficShare = (canary: Canary, nowMs: number, isSession = false): number => {
   if (canary.isBad || canary.stage === 'rolledBack') {
     return 0;
@@ -200,7 +212,7 @@
   if (canary.stage === 'completed') {
     return 1;
   }
-  const canaryShare = isSession ? canary.exposure.share * CANARY_PART : computeCanaryShare(canary);
+  const canaryShare = isSession ? computeSessionShare(canary, nowMs) : computeCanaryShare(canary);
   const remainingRamp = 1 - computeTailPart(canary) - computeProgress(canary, nowMs);
   const rampProgress = 1 - remainingRamp / (canary.exposure.share * RAMP_PART);
   return Math.min(1, Math.max(canaryShare, canaryShare + (1 - canaryShare) * rampProgress));
