fix(router): a request that starts is no proof that its upstream can be reached

Cause: the start of a request on an idle upstream reset the time of its last activity, which a probe that failed meanwhile read as bytes received. The time of the last byte is now kept apart from the time since which an upstream is silent; a probe during which this process stalled says nothing. Before: the test saw the upstream become reachable again with a probe that always fails; after: it does not.

--- a/packages/router/src/routed/reachabilityMonitor.ts
+++ b/packages/router/src/routed/reachabilityMonitor.ts
@@ -16,7 +16,10 @@
 interface WatchedUpstream {
   address: string;
   activeAttempts: number;
-  lastActivityAtMs: number;
+  /** Time of the last byte from it, or `-Infinity`. */
+  lastByteAtMs: number;
+  /** Time since which it is silent: its last byte, or the start of the first attempt after it was idle. */
+  silentSinceMs: number;
   lastProbeAtMs: number;
   isProbing: boolean;
   isReachable: boolean;
@@ -43,6 +46,7 @@
 ): ReachabilityMonitor => {
   const upstreams = new Map<string, WatchedUpstream>();
   let checkedAtMs = performance.now();
+  let stalledAtMs = -Infinity;
   const setReachable = (
     upstreamId: string,
     watched: WatchedUpstream,
@@ -59,29 +63,34 @@
     watched.lastProbeAtMs = performance.now();
     const result = await probe(watched.address);
     watched.isProbing = false;
+    // A stall of this process may have used up the time of the probe.
+    if (result === 'unknown' && stalledAtMs >= watched.lastProbeAtMs) {
+      return;
+    }
     // Bytes received during the probe prove reachability even if the probe failed.
-    const wasActive = watched.lastActivityAtMs >= watched.lastProbeAtMs;
+    const wasActive = watched.lastByteAtMs >= watched.lastProbeAtMs;
     setReachable(upstreamId, watched, result === 'open' || wasActive, result === 'refused');
   };
   const isDue = (watched: WatchedUpstream, nowMs: number): boolean =>
     !watched.isProbing &&
     nowMs - watched.lastProbeAtMs >= PROBE_INTERVAL_MS &&
     (!watched.isReachable ||
-      (watched.activeAttempts > 0 && nowMs - watched.lastActivityAtMs >= SILENCE_MS));
+      (watched.activeAttempts > 0 && nowMs - watched.silentSinceMs >= SILENCE_MS));
   const checkUpstreams = (): void => {
     const nowMs = performance.now();
     const wasStalled = nowMs - checkedAtMs > CHECK_MS + STALL_MS;
     checkedAtMs = nowMs;
+    stalledAtMs = wasStalled ? nowMs : stalledAtMs;
     upstreams.forEach((watched, upstreamId) => {
       if (wasStalled) {
         // Bytes may have arrived unread during the stall, so silence is measured from now.
-        watched.lastActivityAtMs = nowMs;
+        watched.silentSinceMs = nowMs;
       } else if (isDue(watched, nowMs)) {
         probeConnection(upstreamId, watched).catch(() => undefined);
       } else if (
         watched.activeAttempts === 0 &&
         watched.isReachable &&
-        nowMs - watched.lastActivityAtMs > FORGET_MS
+        nowMs - watched.silentSinceMs > FORGET_MS
       ) {
         upstreams.delete(upstreamId);
       }
@@ -96,21 +105,23 @@
         upstreams.set(upstreamId, {
           address,
           activeAttempts: 1,
-          lastActivityAtMs: nowMs,
+          lastByteAtMs: -Infinity,
+          silentSinceMs: nowMs,
           lastProbeAtMs: -Infinity,
           isProbing: false,
           isReachable: true,
         });
         return;
       }
-      watched.lastActivityAtMs = watched.activeAttempts === 0 ? nowMs : watched.lastActivityAtMs;
+      watched.silentSinceMs = watched.activeAttempts === 0 ? nowMs : watched.silentSinceMs;
       watched.activeAttempts += 1;
       watched.address = address;
     },
     recordActivity: (upstreamId) => {
       const watched = upstreams.get(upstreamId);
       if (watched !== undefined) {
-        watched.lastActivityAtMs = performance.now();
+        watched.lastByteAtMs = performance.now();
+        watched.silentSinceMs = watched.lastByteAtMs;
         setReachable(upstreamId, watched, true);
       }
     },
