feat(core): brittle upstreams are shared out and rest after they turn a request away

A router now takes only its even part of such an upstream's slots, queues nothing there, and lets it rest after a request was turned away, so long that all routers together stay at half of what it can turn away.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -51,6 +51,8 @@
     readonly upstreamId: string;
     readonly isLeaving: boolean;
     readonly restMs: number | null;
+    /** Requests that it can turn away in a second without falling over, or null if it can any number. */
+    readonly maxTurnAways?: number | null;
   };
   /** Another router knows upstreams that leave. */
   readonly leavingNewsReceived: { readonly news: readonly noticeHandlers.LeavingNews[] };
--- a/packages/core/src/notices/noticeHandlers.ts
+++ b/packages/core/src/notices/noticeHandlers.ts
@@ -3,6 +3,7 @@
 import * as random from '../random.js';
 import * as routerState from '../routerState.js';
 import * as transition from '../transition.js';
+import * as brittleUpstreams from './brittleUpstreams.js';
 import * as leavingProcesses from './leavingProcesses.js';
 import * as upstreamRest from './upstreamRest.js';
 
@@ -92,11 +93,13 @@
   current: routerState.RouterState,
   event: events.EventOf<'noticeObserved'>,
 ): transition.Transition => {
-  const { upstreamId, restMs, isLeaving } = event;
-  const rested =
+  const { upstreamId, restMs, isLeaving, maxTurnAways = null } = event;
+  const recorded = brittleUpstreams.recordBrittleness(current, upstreamId, maxTurnAways);
+  const rested = transition.composeTransition(recorded, (next) =>
     restMs === null
-      ? transition.makeTransition(recordAnswer(current, upstreamId, event.nowMs))
-      : startRest(current, upstreamId, restMs, event);
+      ? transition.makeTransition(recordAnswer(next, upstreamId, event.nowMs))
+      : startRest(next, upstreamId, restMs, event),
+  );
   return isLeaving
     ? transition.composeTransition(rested, (next) =>
         reportLeaving(next, markLeaving(next, upstreamId, event.nowMs), upstreamId),
--- a/packages/core/src/routed/routedPlacement.ts
+++ b/packages/core/src/routed/routedPlacement.ts
@@ -1,5 +1,6 @@
 import * as shared from '@jayrock/shared';
 import type * as requestState from '../requestState.js';
+import * as brittleUpstreams from '../notices/brittleUpstreams.js';
 import * as upstreamRest from '../notices/upstreamRest.js';
 import * as rateLimit from '../rateLimits/rateLimit.js';
 import * as routerState from '../routerState.js';
@@ -89,13 +90,15 @@
   const { request, routed, nowMs } = query;
   const canary = current.routed.canaries.get(upstream.host.service);
   const slots = upstream.host.slots ?? upstream.slots;
-  const queueSlots = isEngine(current, upstream.host.service) ? 0 : QUEUE_ALLOWANCE;
+  const mayQueue = upstream.maxTurnAways === null && !isEngine(current, upstream.host.service);
+  const queueSlots = mayQueue ? QUEUE_ALLOWANCE : 0;
   return (
     upstream.host.state === 'live' &&
     upstreamRest.mayReceive(upstream.rest, upstream.inFlight, nowMs) &&
     !query.excluded.includes(upstream.host.id) &&
     versionShare.isVersionAllowed(canary, upstream.host.version, request, routed, nowMs) &&
     (query.ignoresRateLimits || rateLimit.hasPermit(upstream.rateLimit, nowMs)) &&
+    upstream.inFlight < brittleUpstreams.getMaxInFlight(current, upstream) &&
     (upstream.inFlight === 0 ||
       upstreamState.estimateLoad(upstream, nowMs) + 1 <= slots + queueSlots)
   );
--- a/packages/core/src/routed/routedRetry.ts
+++ b/packages/core/src/routed/routedRetry.ts
@@ -3,6 +3,7 @@
 import type * as events from '../events.js';
 import * as health from '../health.js';
 import * as memberTable from '../membership/memberTable.js';
+import * as brittleUpstreams from '../notices/brittleUpstreams.js';
 import * as refusal from '../refusal.js';
 import type * as requestAttempt from '../requestAttempt.js';
 import type * as requestState from '../requestState.js';
@@ -264,8 +265,12 @@
     event.nowMs,
     UPSTREAM_UPDATES[event.failure](event.nowMs),
   );
-  const latest = updated.requests.get(request.id) ?? request;
-  const progressed = routerState.setRequest(updated, {
+  const rested =
+    event.failure === 'turnedAway'
+      ? brittleUpstreams.startRestAfterTurnAway(updated, attempt.upstreamId, event)
+      : updated;
+  const latest = rested.requests.get(request.id) ?? request;
+  const progressed = routerState.setRequest(rested, {
     ...latest,
     sentCount: latest.sentCount - Number(event.isUnsent),
     routed: {
--- a/packages/core/src/upstreamState.ts
+++ b/packages/core/src/upstreamState.ts
@@ -50,7 +50,9 @@
   readonly retryBudget: budget.Budget;
   /** Limit that the upstream names in its answers. */
   readonly rateLimit: rateLimit.RateLimit;
-  /** Pause for which the upstream asked this router. */
+  /** Requests that a brittle upstream can turn away in a second without falling over; null for any other. */
+  readonly maxTurnAways: number | null;
+  /** Pause for which the upstream asked this router, or that this router grants a brittle one. */
   readonly rest: upstreamRest.UpstreamRest;
 }
 
@@ -101,6 +103,7 @@
   ejectionCount: 0,
   retryBudget: budget.makeBudget(UPSTREAM_RETRY_RULE),
   rateLimit: rateLimit.NO_LIMIT,
+  maxTurnAways: null,
   rest: upstreamRest.NO_REST,
 });
 
--- a/packages/router/src/routed/routedAttempt.ts
+++ b/packages/router/src/routed/routedAttempt.ts
@@ -39,8 +39,12 @@
   readonly handleLoad: (report: NonNullable<platform.answerHeaders.AnswerHeaders['load']>) => void;
   /** An answer names a limit in requests per second or, if it is null, none. */
   readonly handleRateLimit: (requestsPerSecond: number | null) => void;
-  /** An answer says whether its upstream leaves, and which pause it wants. */
-  readonly handleNotice: (isLeaving: boolean, rest: shared.restTime.RestTime) => void;
+  /** An answer says whether its upstream leaves, which pause it wants, and how many requests it can turn away. */
+  readonly handleNotice: (
+    isLeaving: boolean,
+    rest: shared.restTime.RestTime,
+    maxTurnAways: number | null,
+  ) => void;
 }
 
 /** Size and duration of a forwarded stream. */
@@ -285,7 +289,7 @@
     // The process at the address is another one if it reports the request as misdirected.
     if (status !== MISDIRECTED_STATUS) {
       listener.handleRateLimit(parsed.requestsPerSecond);
-      listener.handleNotice(parsed.isLeaving, parsed.rest);
+      listener.handleNotice(parsed.isLeaving, parsed.rest, parsed.maxTurnAways);
     }
     if (parsed.isNotRun && isOwnAnswer(parsed, pending.callerRequestId)) {
       const failure = status === MISDIRECTED_STATUS ? 'misdirected' : 'turnedAway';
--- a/packages/router/src/upstreams/upstreamNotices.ts
+++ b/packages/router/src/upstreams/upstreamNotices.ts
@@ -14,16 +14,21 @@
 }
 
 /** What an answer says of its upstream. */
-export type NoticeHandler = (isLeaving: boolean, rest: shared.restTime.RestTime) => void;
+export type NoticeHandler = (
+  isLeaving: boolean,
+  rest: shared.restTime.RestTime,
+  /** Requests that it can turn away in a second, or null if it names no such number. */
+  maxTurnAways?: number | null,
+) => void;
 
 /** Makes the handler of what the answers of an upstream say of it. */
 export const makeNoticeHandler =
   ({ runtime, log }: NoticeContext, upstreamId: string): NoticeHandler =>
-  (isLeaving, { restMs, problem }) => {
+  (isLeaving, { restMs, problem }, maxTurnAways = null) => {
     if (problem !== null) {
       log.warn({ upstream: upstreamId, value: problem, restMs }, 'invalid pause of an upstream');
     }
-    runtime.dispatch({ type: 'noticeObserved', upstreamId, isLeaving, restMs });
+    runtime.dispatch({ type: 'noticeObserved', upstreamId, isLeaving, restMs, maxTurnAways });
   };
 
 /** Reads what an answer on the product's own platform says of its upstream. */
