fix(router): a router that stops ends its relays once they carry no answer

A relay is an upgraded connection, which the listener waits for without end and does not close, so a stop with open relays would have lasted until the process was killed. A stopping router opens no more relays, ends those that carry no answer, and waits for the others within its grace period. Test: an answer of 0.8 s through a peer that is stopped meanwhile arrives, and the stop ends in time.

--- a/packages-private/measure/__tests__/unreachableUpstreams.spec.ts
+++ b/packages-private/measure/__tests__/unreachableUpstreams.spec.ts
@@ -13,6 +13,7 @@
 /** The users' `stability_window_ms`: from then on, callers of a router that is cut off must be served. */
 const STABILITY_MS = 3_000;
 const UPSTREAMS = 2;
+const GRACE_MS = 8_000;
 
 /** Two routers that are peers, and the same upstreams; the first router reaches them through forwarders alone. */
 interface CutSite {
@@ -20,7 +21,9 @@
   readonly forwarders: readonly standIns.forwarder.Forwarder[];
   /** Sends a request to the first router. */
   readonly call: (call: routedSite.Call) => Promise<routedSite.CallResponse>;
-  /** Stops the second router. */
+  /** Ends the second router at once. */
+  readonly closePeer: () => Promise<void>;
+  /** Stops the second router, which completes what it has begun. */
   readonly stopPeer: () => Promise<void>;
 }
 
@@ -49,12 +52,17 @@
   ip: string,
   peerIp: string,
   upstreams: readonly { readonly id: string; readonly address: string }[],
-): Promise<{ readonly callers: string; readonly close: () => Promise<void> }> => {
+): Promise<{
+  readonly callers: string;
+  readonly close: () => Promise<void>;
+  readonly stop: () => Promise<void>;
+}> => {
   const settings = shared.settings.settingsSchema.parse(
     routerSettings.makeRouterSettings(
       ip,
       {
         kind: 'routes',
+        bounds: { graceMs: GRACE_MS },
         routesFile: 'routes.jsonc',
         upstreams: upstreams.map(({ id, address }) => ({
           id,
@@ -75,7 +83,7 @@
     dir,
   );
   t.teardown(() => running.close());
-  return { callers: settings.callers, close: running.close };
+  return { callers: settings.callers, close: running.close, stop: running.stop };
 };
 
 const startCutSite = async (t: ava.ExecutionContext, subnet: string): Promise<CutSite> => {
@@ -116,7 +124,7 @@
   );
   // The routers learn of each other by gossip.
   await standIns.control.wait(1_500);
-  return { upstreams, forwarders, call, stopPeer: peer.close };
+  return { upstreams, forwarders, call, closePeer: peer.close, stopPeer: peer.stop };
 };
 
 /** Sends calls for the time that a router has to notice a cut. */
@@ -171,7 +179,7 @@
   site.forwarders.forEach((forwarder, index) =>
     t.true(forwarder.countAccepted() > (before[index] ?? 0)),
   );
-  await site.stopPeer();
+  await site.closePeer();
   t.is((await site.call({ path: '/read/', id: 'alone' })).status, 200);
 });
 
@@ -192,10 +200,37 @@
   async (t) => {
     const site = await startCutSite(t, '127.0.44');
     site.forwarders.forEach((forwarder) => forwarder.cut('break'));
-    await site.stopPeer();
+    await site.closePeer();
     await sendEarlyCalls(site);
     const response = await site.call({ path: '/issue/', id: 'lonely' });
     t.is(response.status, 503);
     t.is(countReceived(site, 'lonely'), 0);
   },
 );
+
+test.serial(
+  'a peer that stops completes the answers that it passes on, and ends in its grace period',
+  async (t) => {
+    const site = await startCutSite(t, '127.0.47');
+    site.forwarders.forEach((forwarder) => forwarder.cut('break'));
+    await sendEarlyCalls(site);
+    site.upstreams.forEach((upstream) => {
+      upstream.behaviour = {
+        kind: 'raw',
+        write: (socket, _, stamps) => {
+          setTimeout(
+            () => socket.write(`HTTP/1.1 200 OK\r\n${stamps}content-length: 2\r\n\r\nok`),
+            800,
+          );
+        },
+      };
+    });
+    const answered = site.call({ path: '/issue/', id: 'begun' });
+    await standIns.control.waitUntil(() => countReceived(site, 'begun') === 1);
+    const startedAtMs = performance.now();
+    await site.stopPeer();
+    t.true(performance.now() - startedAtMs < GRACE_MS);
+    t.is((await answered).status, 200);
+    t.is(countReceived(site, 'begun'), 1);
+  },
+);
--- a/packages/router/src/relays/relayServer.ts
+++ b/packages/router/src/relays/relayServer.ts
@@ -15,14 +15,33 @@
   readonly localAddress: string;
   /** Returns whether this router reaches an address on its own path; it must not relay through yet another peer. */
   readonly hasOwnPath: (address: string) => boolean;
+  /** Returns whether this router is stopping, so that it opens no more relays. */
+  readonly isLeaving: () => boolean;
 }
 
 /** The relays that a router holds for its peers. */
 export interface RelayServer {
   /** Returns the number of open relays. */
   readonly countOpen: () => number;
+  /** Ends each relay once it carries no answer; resolves when all have ended, or when `isOver` does. */
+  readonly drain: (isOver: () => boolean) => Promise<void>;
+  /** Cuts all relays. */
+  readonly close: () => void;
 }
 
+/** A relay in use. */
+interface OpenRelay {
+  /** True while the upstream owes an answer, as far as the bytes show. */
+  isAwaiting: boolean;
+  /** Time of the last byte from the upstream, in milliseconds. */
+  lastByteAtMs: number;
+}
+
+/** Time after the last byte from the upstream after which an answer counts as ended, in milliseconds. */
+const ANSWERED_MS = 1_500;
+/** Interval at which a stopping router checks its relays, in milliseconds. */
+const DRAIN_POLL_MS = 50;
+
 /** Time for a connection to the upstream, in milliseconds; shorter than the peer waits for the relay. */
 const CONNECT_TIMEOUT_MS = 300;
 /** Largest number of relays at a time, which bounds descriptors and memory. */
@@ -71,7 +90,7 @@
 /** Offers relays to upstreams on the peers' listener: to those in the host list, with a valid signature. */
 export const serveRelays = (server: http.Server, context: RelayContext): RelayServer => {
   const { runtime, log, secret, localAddress } = context;
-  let open = 0;
+  const open = new Map<net.Socket, OpenRelay>();
   const findAddress = (request: http.IncomingMessage): string | null => {
     const path = request.url ?? '';
     const signed = String(request.headers[signature.SIGNATURE_HEADER] ?? '');
@@ -90,18 +109,17 @@
     const address = findAddress(request);
     const mayOpen =
       address !== null &&
-      open < MAX_RELAYS &&
-      !runtime.getState().isStopping &&
+      open.size < MAX_RELAYS &&
+      !context.isLeaving() &&
       context.hasOwnPath(address);
     if (!mayOpen) {
-      log.info({ address, open }, 'relay refused');
+      log.info({ address, open: open.size }, 'relay refused');
       socket.end(REFUSAL);
       return;
     }
-    open += 1;
-    socket.once('close', () => {
-      open -= 1;
-    });
+    const relay: OpenRelay = { isAwaiting: false, lastByteAtMs: -Infinity };
+    open.set(socket, relay);
+    socket.once('close', () => open.delete(socket));
     const upstream = net.connect({
       ...shared.settings.parseAddress(address),
       localAddress,
@@ -130,8 +148,30 @@
       if (head.length > 0) {
         upstream.write(head);
       }
+      socket.on('data', () => {
+        relay.isAwaiting = true;
+      });
+      upstream.on('data', () => {
+        relay.isAwaiting = false;
+        relay.lastByteAtMs = performance.now();
+      });
       joinConnections(socket, upstream);
     });
   });
-  return { countOpen: () => open };
+  const endAnswered = (): void =>
+    open.forEach(({ isAwaiting, lastByteAtMs }, socket) => {
+      if (!isAwaiting && performance.now() - lastByteAtMs > ANSWERED_MS) {
+        socket.destroySoon();
+      }
+    });
+  return {
+    countOpen: () => open.size,
+    drain: async (isOver) => {
+      for (endAnswered(); open.size > 0 && !isOver(); endAnswered()) {
+        // eslint-disable-next-line no-await-in-loop -- each check follows a pause
+        await shared.delay.wait(DRAIN_POLL_MS);
+      }
+    },
+    close: () => open.forEach((_, socket) => socket.destroy()),
+  };
 };
--- a/packages/router/src/routed/startRoutedRouter.ts
+++ b/packages/router/src/routed/startRoutedRouter.ts
@@ -207,14 +207,21 @@
   return parts;
 };
 
-/** Opens the listeners for callers, readiness checks, peers and metrics, in this order. */
+/** The listeners of a router. */
+interface Listeners {
+  readonly callers: fastify.FastifyInstance;
+  readonly relays: relayServer.RelayServer;
+  readonly all: readonly fastify.FastifyInstance[];
+}
+
+/** Opens the listeners for callers, readiness checks, peers and metrics. */
 const openListeners = async (
   parts: RoutedRouterParts,
   settings: shared.settings.Settings,
   platform: RoutedPlatform,
   getBounds: () => RoutedPlatform['bounds'],
   getStopAgeMs: () => number | null,
-): Promise<readonly fastify.FastifyInstance[]> => {
+): Promise<Listeners> => {
   const { runtime, clock, source } = parts;
   const isLeaving = (): boolean => getStopAgeMs() !== null;
   const isReady = (): boolean =>
@@ -248,6 +255,7 @@
     secret: settings.peerSecret,
     localAddress: getLocalAddress(settings),
     hasOwnPath: (address) => !parts.paths.isRelayed(address),
+    isLeaving,
   });
   const metrics = makeMetricsServer(parts, relays);
   await Promise.all([
@@ -256,7 +264,7 @@
     listen(peers, settings.peers),
     listen(metrics, settings.status),
   ]);
-  return [callers, readiness, peers, metrics];
+  return { callers, relays, all: [callers, readiness, peers, metrics] };
 };
 
 /** Logs a request that the end of the grace period cuts off. */
@@ -283,7 +291,7 @@
  */
 const drainRequests = async (
   { runtime, pending, source, log, connections }: RoutedRouterParts,
-  callers: fastify.FastifyInstance,
+  { callers, relays }: Listeners,
   stoppedAtMs: number,
   graceMs: number,
 ): Promise<void> => {
@@ -294,7 +302,10 @@
   source.leave().catch((error: unknown) => log.warn({ error }, 'router registration not removed'));
   await shared.delay.wait(BALANCER_REMOVAL_MS - (performance.now() - stoppedAtMs));
   connections.drain(callers.server);
-  await connections.waitAnswered(isAfter(ANSWER_SHARE));
+  await Promise.all([
+    connections.waitAnswered(isAfter(ANSWER_SHARE)),
+    relays.drain(isAfter(ANSWER_SHARE)),
+  ]);
   pending.forEach((request) => logCutRequest(log, request, stoppedAtMs));
   log.info({ cut: pending.size }, 'router stopped');
   runtime.dispatch({ type: 'stopExpired' });
@@ -357,23 +368,21 @@
       return;
     }
     isClosed = true;
-    const listeners = await opened;
+    const { relays, all } = await opened;
     stopFeeds();
+    relays.close();
     parts.reachability.stop();
     parts.peers.stop();
     parts.loop.stop();
     parts.barrier.stop();
-    await Promise.all(listeners.map((server) => closeServer.closeServer(server)));
+    await Promise.all(all.map((server) => closeServer.closeServer(server)));
     await Promise.all([parts.pools.close(), parts.client.close(), source.stop()]);
   };
   const router: RunningRoutedRouter = {
     stop: async () => {
       // The signal may have waited for a long turn of the event loop, like any other input.
       stoppedAtMs = performance.now() - parts.loop.getInputAgeMs();
-      const [callers] = await opened;
-      if (callers !== undefined) {
-        await drainRequests(parts, callers, stoppedAtMs, bounds.graceMs);
-      }
+      await drainRequests(parts, await opened, stoppedAtMs, bounds.graceMs);
       await close();
     },
     close,
