fix(router): an upstream that is no longer listed is not probed any more

Its address may by then belong to another service. The monitor and the paths forget it when no attempt is left. Before (the branch switched off): the test counts further probes; after: none.

--- a/packages/router/__tests__/reachabilityMonitor.spec.ts
+++ b/packages/router/__tests__/reachabilityMonitor.spec.ts
@@ -9,19 +9,22 @@
 /** Time without bytes after which an upstream with attempts has been probed, in milliseconds. */
 const PROBED_MS = 700;
 
-/** Makes a runtime that records the events of reachability. */
+/** Makes a runtime that lists some upstreams and records the events of reachability. */
 const makeRuntime = (
   events: core.events.UnstampedEvent[],
-): Pick<routerRuntime.Runtime, 'dispatch'> => ({
-  dispatch: (event) => {
-    events.push(event);
-  },
-});
+  listed: ReadonlySet<string>,
+): routerRuntime.Runtime =>
+  ({
+    dispatch: (event: core.events.UnstampedEvent) => {
+      events.push(event);
+    },
+    getState: () => ({ upstreams: listed }),
+  }) as unknown as routerRuntime.Runtime;
 
 test('requests that start on an unreachable upstream do not make it count as reachable', async (t) => {
   const events: core.events.UnstampedEvent[] = [];
   const monitor = reachabilityMonitor.startReachabilityMonitor(
-    makeRuntime(events) as routerRuntime.Runtime,
+    makeRuntime(events, new Set(['u-0'])),
     {
       probe: async () => {
         await shared.delay.wait(PROBE_MS);
@@ -29,6 +32,7 @@
       },
       isRelayed: () => false,
       isCutOff: () => false,
+      forget: () => undefined,
     },
     () => undefined,
   );
@@ -47,3 +51,34 @@
     [false],
   );
 });
+
+test('an unreachable upstream is probed no more once it is not listed', async (t) => {
+  const listed = new Set(['u-0']);
+  const forgotten: string[] = [];
+  let probes = 0;
+  const monitor = reachabilityMonitor.startReachabilityMonitor(
+    makeRuntime([], listed),
+    {
+      probe: async () => {
+        probes += 1;
+        return { result: 'refused', hasChanged: false };
+      },
+      isRelayed: () => false,
+      isCutOff: () => false,
+      forget: (address) => forgotten.push(address),
+    },
+    () => undefined,
+  );
+  t.teardown(() => monitor.stop());
+  monitor.recordStart('u-0', '127.0.0.1:1');
+  monitor.recordEnd('u-0');
+  monitor.recordUnreachable('u-0');
+  await shared.delay.wait(PROBED_MS);
+  t.true(probes > 0);
+  listed.delete('u-0');
+  await shared.delay.wait(PROBE_MS);
+  const before = probes;
+  await shared.delay.wait(PROBED_MS * 2);
+  t.is(probes, before);
+  t.deepEqual(forgotten, ['127.0.0.1:1']);
+});
--- a/packages/router/src/relays/upstreamPaths.ts
+++ b/packages/router/src/relays/upstreamPaths.ts
@@ -11,6 +11,8 @@
   /** Connects to an upstream on the router's own path or, if it seems cut off, through a peer; keeps what worked. */
   readonly probe: (upstreamId: string, address: string) => Promise<PathResult>;
   readonly isRelayed: (address: string) => boolean;
+  /** Forgets an address at which no upstream is listed any more. */
+  readonly forget: (address: string) => void;
   /** Returns whether the router seems cut off from the service of an upstream: many of its upstreams fail. */
   readonly isCutOff: (upstreamId: string) => boolean;
   /** Returns the number of addresses that are reached through peers. */
@@ -116,6 +118,11 @@
       return relay === undefined ? null : openRelay(relay.peer, relay.upstreamId);
     },
     isRelayed: (address) => relays.has(address),
+    forget: (address) => {
+      relays.delete(address);
+      failedAtMs.delete(address);
+      futileAtMs.delete(address);
+    },
     isCutOff,
     countRelayed: () => relays.size,
     probe: async (upstreamId, address) => {
--- a/packages/router/src/routed/reachabilityMonitor.ts
+++ b/packages/router/src/routed/reachabilityMonitor.ts
@@ -48,7 +48,7 @@
 /** Starts the monitor, which dispatches an event when the reachability of an upstream changes. */
 export const startReachabilityMonitor = (
   runtime: routerRuntime.Runtime,
-  paths: Pick<upstreamPaths.UpstreamPaths, 'probe' | 'isRelayed' | 'isCutOff'>,
+  paths: Pick<upstreamPaths.UpstreamPaths, 'probe' | 'isRelayed' | 'isCutOff' | 'forget'>,
   renewPool: (address: string) => void,
 ): ReachabilityMonitor => {
   const upstreams = new Map<string, WatchedUpstream>();
@@ -117,7 +117,10 @@
     checkedAtMs = nowMs;
     stalledAtMs = wasStalled ? nowMs : stalledAtMs;
     upstreams.forEach((watched, upstreamId) => {
-      if (wasStalled) {
+      if (watched.activeAttempts === 0 && !runtime.getState().upstreams.has(upstreamId)) {
+        upstreams.delete(upstreamId);
+        paths.forget(watched.address);
+      } else if (wasStalled) {
         // Bytes may have arrived unread during the stall, so silence is measured from now.
         watched.silentSinceMs = nowMs;
       } else if (isDue(watched, nowMs)) {
