fix(router): a probe that a stall delayed says nothing of the path

Found while reading: on a machine with little processor time a probe runs out while the process stands still, and half of a service's upstreams would seem to fail, so that the router asked peers for relays it does not need. A probe that took longer than it may by itself is not counted.

--- a/packages/router/src/relays/upstreamPaths.ts
+++ b/packages/router/src/relays/upstreamPaths.ts
@@ -42,6 +42,9 @@
 /** Time for which peers are not asked again for an upstream that none of them reached, in milliseconds. */
 const FUTILE_MS = 1_500;
 
+/** Duration of a probe without an answer above which this process itself was stalled, in milliseconds. */
+const STALLED_PROBE_MS = 450;
+
 /** Tries to open a connection to an address on the router's own path. */
 type Probe = (address: string) => Promise<attemptFailure.ProbeResult>;
 
@@ -126,7 +129,11 @@
     isCutOff,
     countRelayed: () => relays.size,
     probe: async (upstreamId, address) => {
+      const startedAtMs = performance.now();
       const result = await probe(address);
+      if (result === 'unknown' && performance.now() - startedAtMs > STALLED_PROBE_MS) {
+        return { result, hasChanged: false };
+      }
       if (result === 'open') {
         failedAtMs.delete(address);
         futileAtMs.delete(address);
