fix(core): sessions on a new version leave headroom for a load that grows in the second half

Cause: since sessions keep their version in the first half, all of their part is spent in the second, and that at a load over the average; for a period of 8 s the ramp cannot become shorter to make up for it. Their share of the second half is 0.68 of the exposure share instead of 0.9, so that a second half of 1.4 times the average load costs what it cost before. The tests of bad versions in sessions still hold.

--- a/packages/core/__tests__/canaryState.spec.ts
+++ b/packages/core/__tests__/canaryState.spec.ts
@@ -241,6 +241,22 @@
   t.true(exposed <= EXPOSURE_SHARE * total + EXPOSURE_SLACK, `${exposed} of ${total}`);
 });
 
+test('sessions whose load grows by half towards the end stay within the allowed exposure of a version', (t) => {
+  const order = { ...ORDER, periodMs: 8_000 };
+  const canary = core.canaryState.makeCanary(order, 'running', 0, EXPOSURE);
+  // As in the users' load waves: less than the average in the first half, and more in the second.
+  const getRate = (atMs: number): number => (atMs < order.periodMs / 2 ? 90 : 210);
+  const stepMs = 5;
+  let exposed = 0;
+  let total = 0;
+  for (let nowMs = 0; nowMs < order.periodMs; nowMs += stepMs) {
+    const arrivals = (getRate(nowMs) * stepMs) / 1_000;
+    total += arrivals;
+    exposed += arrivals * core.canaryState.getTrafficShare(canary, nowMs, true);
+  }
+  t.true(exposed <= EXPOSURE_SHARE * total + EXPOSURE_SLACK, `${exposed} of ${total}`);
+});
+
 test('the share of sessions is constant in the first half and does not decrease for a good version', (t) => {
   const canary = core.canaryState.makeCanary(ORDER, 'running', 0, EXPOSURE);
   const shares = Array.from({ length: 200 }, (_, index) =>
--- a/packages/core/src/routed/canaryState.ts
+++ b/packages/core/src/routed/canaryState.ts
@@ -91,6 +91,11 @@
  * all requests of a session, so none can tell a new one from one in progress.
  */
 const SESSION_START_PART = 0.5;
+/**
+ * Share of the sessions on the version from then on until the ramp, relative to the exposure share. It leaves headroom
+ * for a load that grows in the second half.
+ */
+const SESSION_PART = 0.68;
 /** Part of the period in which the share ramps up to all sessions, relative to the exposure share. */
 const RAMP_PART = 0.1;
 /** Part of the period that remains when all sessions are on the version, relative to the exposure share. */
@@ -196,13 +201,12 @@
 
 /**
  * Computes the share of the sessions on the version before the ramp, from 0 to 1. It depends on the time alone, so that
- * all routers decide alike, and spends in the rest of the period what other requests spend in all of it. Sessions get no
- * part of the early share, which falls again.
+ * all routers decide alike. Sessions get no part of the early share, which falls again.
  */
 const computeSessionShare = (canary: Canary, nowMs: number): number =>
   computeProgress(canary, nowMs) < SESSION_START_PART
     ? 0
-    : Math.min(1, (canary.exposure.share * CANARY_PART) / (1 - SESSION_START_PART));
+    : Math.min(1, canary.exposure.share * SESSION_PART);
 
 /** Returns the share of the requests, or of the sessions, that run on the version, from 0 to 1. */
 export const getTrafficShare = (canary: Canary, nowMs: number, isSession = false): number => {
