--- a/packages-private/measure/__tests__/unreachableUpstreams.spec.ts
+++ b/packages-private/measure/__tests__/unreachableUpstreams.spec.ts
@@ -145,7 +145,7 @@
   test.serial(
     `a router that reaches no upstream serves its callers through a peer (connections ${how})`,
     async (t) => {
-      const site = await startCutSite(t, `127.0.${40 + index}`);
+      const site = await startCutSite(t, `127.0.${221 + index}`);
       site.forwarders.forEach((forwarder) => forwarder.cut(how));
       await sendEarlyCalls(site);
       const ids = Array.from({ length: 30 }, (_, number) => `c-${number}`);
@@ -169,7 +169,7 @@
 });
 
 test.serial('a router takes its own path again once it reaches upstreams', async (t) => {
-  const site = await startCutSite(t, '127.0.42');
+  const site = await startCutSite(t, '127.0.223');
   site.forwarders.forEach((forwarder) => forwarder.cut('break'));
   await sendEarlyCalls(site);
   const before = site.forwarders.map((forwarder) => forwarder.countAccepted());
@@ -184,7 +184,7 @@
 });
 
 test.serial('an answer that breaks off behind a peer does not look whole', async (t) => {
-  const site = await startCutSite(t, '127.0.43');
+  const site = await startCutSite(t, '127.0.224');
   site.forwarders.forEach((forwarder) => forwarder.cut('break'));
   await sendEarlyCalls(site);
   site.upstreams.forEach((upstream) => {
@@ -198,7 +198,7 @@
 test.serial(
   'a request that no peer can pass on is refused as not run, and has not run',
   async (t) => {
-    const site = await startCutSite(t, '127.0.44');
+    const site = await startCutSite(t, '127.0.225');
     site.forwarders.forEach((forwarder) => forwarder.cut('break'));
     await site.closePeer();
     await sendEarlyCalls(site);
@@ -211,7 +211,7 @@
 test.serial(
   'a peer that stops completes the answers that it passes on, and ends in its grace period',
   async (t) => {
-    const site = await startCutSite(t, '127.0.47');
+    const site = await startCutSite(t, '127.0.226');
     site.forwarders.forEach((forwarder) => forwarder.cut('break'));
     await sendEarlyCalls(site);
     site.upstreams.forEach((upstream) => {
