--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -353,43 +353,6 @@
   return { address: `127.0.0.1:${server.address().port}`, cut };
 };
 
-/** Starts a link whose open connections can go silent for good, without a reset, while new ones work. */
-export const startSilentLink = async (site, target) => {
-  const [host, port] = target.split(':');
-  const pairs = new Set();
-  const server = net.createServer((incoming) => {
-    const pair = { incoming, outgoing: net.connect({ host, port: Number(port) }), isSilent: false };
-    const { outgoing } = pair;
-    pairs.add(pair);
-    const pass = (from, to, act) => {
-      from.on('data', (bytes) => pair.isSilent || to.write(bytes));
-      from.once('end', () => pair.isSilent || to.end());
-      from.once('error', () => pair.isSilent || to.resetAndDestroy());
-      from.once('close', act);
-    };
-    pass(incoming, outgoing, () => pairs.delete(pair));
-    pass(outgoing, incoming, () => undefined);
-  });
-  await new Promise((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  site.closers.push(() => {
-    server.close();
-    pairs.forEach(({ incoming, outgoing }) => {
-      incoming.destroy();
-      outgoing.destroy();
-    });
-  });
-  return {
-    address: `127.0.0.1:${server.address().port}`,
-    /** Silences the open connections; returns their number. */
-    silence: () => {
-      pairs.forEach((pair) => Object.assign(pair, { isSilent: true }));
-      return pairs.size;
-    },
-  };
-};
-
 /** Runs a case: exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run. */
 export const runCase = async (recordFile, play) => {
   const site = makeSite(recordFile);
