--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -3,7 +3,7 @@
 import { clearInterval, setInterval } from 'node:timers';
 import { setTimeout as wait } from 'node:timers/promises';
 // eslint-disable-next-line import-x/extensions -- Node.js needs the extension
-import * as lib from '../lib/site.mjs';
+import * as lib from './site.mjs';
 
 const EVENTS = 100;
 const EVENT_MS = 150;
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -4,7 +4,7 @@
 import { setTimeout } from 'node:timers';
 import { setTimeout as wait } from 'node:timers/promises';
 // eslint-disable-next-line import-x/extensions -- Node.js needs the extension
-import * as lib from '../lib/site.mjs';
+import * as lib from './site.mjs';
 
 const STABILITY_MS = 3_000;
 /** Retries that may reach servers later than that after the third crash. */
--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -5,7 +5,7 @@
 import { setTimeout } from 'node:timers';
 import { setTimeout as wait } from 'node:timers/promises';
 // eslint-disable-next-line import-x/extensions -- Node.js needs the extension
-import * as lib from '../lib/site.mjs';
+import * as lib from './site.mjs';
 
 const DRAIN_MS = 2_000;
 const FREEZE_MS = 4_000;
