fix(router): the end of a relayed answer without a length is verified

Cause: such an answer ends with its connection, and the end of the relay, by a stop, a cut or a kill, was taken for the end of the upstream's connection. A stopping router also ended relays 1.5 s after their last byte, whatever was still to come. Change: at the end of such an answer the router asks the peer after how many bytes the upstream ended (getRelayEnd, x-relay-id), and compares them with those that arrived. Relays that end by themselves are reset. Relays of a stopping router end with the answers, or are closed by the peers that notice the stop. Compatible: the call and the header are additive; a peer of the former build knows neither, so the end is not verified and the answer counts as broken off.

--- a/packages-private/measure/__tests__/unreachableUpstreams.spec.ts
+++ b/packages-private/measure/__tests__/unreachableUpstreams.spec.ts
@@ -4,6 +4,7 @@
 import * as path from 'node:path';
 import type * as ava from 'ava';
 import test from 'ava';
+import * as platform from '@jayrock/platform';
 import * as router from '@jayrock/router';
 import * as shared from '@jayrock/shared';
 import * as standIns from '@jayrock/stand-ins';
@@ -33,14 +34,16 @@
     { name: 'read', kind: 'safe' },
     { name: 'issue', kind: 'unsafe' },
     { name: 'talk', kind: 'streaming', isResumable: true },
+    { name: 'slow', kind: 'unsafe', timeoutMs: 20_000 },
+    { name: 'long', kind: 'streaming', isResumable: true, timeoutMs: 20_000 },
   ].map((route) => ({
-    ...route,
     host: routedSite.HOST,
     prefix: `/${route.name}/`,
     targets: [{ service: 'desk' }],
     maxAttempts: 3,
     timeoutMs: 2_000,
     targetLatencyMs: 200,
+    ...route,
   })),
   services: [{ name: 'desk' }],
   organisations: [{ name: 'ada', keys: [routedSite.KEY] }],
@@ -234,3 +237,75 @@
     t.is(countReceived(site, 'begun'), 1);
   },
 );
+
+/** Headers of a request whose caller waits for long. */
+const PATIENT = { [platform.wire.HEADERS.deadlineMs]: '15000' };
+
+test.serial(
+  'an answer without a length that ends with its upstream comes whole through a peer',
+  async (t) => {
+    const site = await startCutSite(t, '127.0.227');
+    site.forwarders.forEach((forwarder) => forwarder.cut('break'));
+    await sendEarlyCalls(site);
+    site.upstreams.forEach((upstream) => {
+      upstream.behaviour = { kind: 'unframed', cut: 'no' };
+    });
+    const answer = await site.call({ path: '/issue/', id: 'plain' });
+    t.deepEqual([answer.status, answer.body], [200, 'first part, second part']);
+    site.upstreams.forEach((upstream) => {
+      upstream.behaviour = { kind: 'stream', events: 20, isUnframed: true };
+    });
+    const stream = await site.call({ path: '/long/', id: 'stream', headers: PATIENT });
+    t.deepEqual(
+      [stream.status, stream.isWhole, stream.body],
+      [200, true, standIns.routedUpstream.renderStream(20)],
+    );
+  },
+);
+
+// A relay that ends by itself looked like the end of an answer without a length.
+(['close', 'stop'] as const).forEach((how, index) => {
+  test.serial(
+    `a stream without a length does not end as complete in the middle when its peer is gone (${how})`,
+    async (t) => {
+      const site = await startCutSite(t, `127.0.${228 + index}`);
+      site.forwarders.forEach((forwarder) => forwarder.cut('break'));
+      await sendEarlyCalls(site);
+      site.upstreams.forEach((upstream) => {
+        upstream.behaviour = { kind: 'stream', events: 200, isUnframed: true, pauseMs: 400 };
+      });
+      const answered = site.call({ path: '/long/', id: 'cut', headers: PATIENT });
+      await standIns.control.waitUntil(() => countReceived(site, 'cut') === 1);
+      await standIns.control.wait(500);
+      await (how === 'close' ? site.closePeer() : site.stopPeer());
+      const { status, body, isWhole } = await answered;
+      t.true(body.length < standIns.routedUpstream.renderStream(200).length);
+      t.false(status === 200 && isWhole, `${status} ${body.length}`);
+    },
+  );
+});
+
+// A relay counted as ended 1.5 s after its last byte.
+test.serial('a peer that stops passes on an answer whose pieces come far apart', async (t) => {
+  const site = await startCutSite(t, '127.0.230');
+  site.forwarders.forEach((forwarder) => forwarder.cut('break'));
+  await sendEarlyCalls(site);
+  site.upstreams.forEach((upstream) => {
+    upstream.behaviour = {
+      kind: 'raw',
+      write: (socket, _, stamps) => {
+        socket.write(`HTTP/1.1 200 OK\r\n${stamps}content-length: 10\r\n\r\nfirst`);
+        setTimeout(() => socket.write(' half'), 5_500);
+      },
+    };
+  });
+  const answered = site.call({ path: '/slow/', id: 'apart', headers: PATIENT });
+  await standIns.control.waitUntil(() => countReceived(site, 'apart') === 1);
+  const startedAtMs = performance.now();
+  const stopped = site.stopPeer();
+  const { status, body } = await answered;
+  t.deepEqual([status, body], [200, 'first half']);
+  await stopped;
+  t.true(performance.now() - startedAtMs < GRACE_MS);
+  t.is(countReceived(site, 'apart'), 1);
+});
--- a/packages/router/__tests__/routedAttempt.spec.ts
+++ b/packages/router/__tests__/routedAttempt.spec.ts
@@ -32,6 +32,7 @@
       get: () => pool as unknown as undici.Pool,
       renew: () => undefined,
       wasReset: () => false,
+      verifyEnd: () => null,
       close: () => Promise.resolve(),
     },
     open: () => {
--- a/packages/router/src/peers/messages.ts
+++ b/packages/router/src/peers/messages.ts
@@ -97,6 +97,12 @@
       readonly isLarge: boolean;
     } | null;
   };
+  /** Asks how a relay ended. */
+  readonly getRelayEnd: {
+    readonly params: { readonly relayId: string };
+    /** Bytes after which the upstream ended its connection; null if it has not, or the relay is not known. */
+    readonly result: { readonly bytes: number | null };
+  };
   /** Asks the allocator of an upstream for permits to send requests; it answers with `grantPermits`. */
   readonly requestPermits: {
     readonly params: {
--- a/packages/router/src/peers/peerHandlers.ts
+++ b/packages/router/src/peers/peerHandlers.ts
@@ -1,6 +1,7 @@
 import * as core from '@jayrock/core';
 import type * as claimService from '../claims/claimService.js';
 import type * as ledgerService from '../ledger/ledgerService.js';
+import type * as relayEnd from '../relays/relayEnd.js';
 import type * as routerRuntime from '../routerRuntime.js';
 import type * as namedSessions from '../namedSessions.js';
 import type * as sharedStore from '../routed/sharedStore.js';
@@ -16,6 +17,8 @@
   readonly peers: peerService.PeerService;
   /** Reads of the store for other routers; null where no router reads for others. */
   readonly sharedStore?: Pick<sharedStore.SharedStore, 'serveRead' | 'serveWait'> | null;
+  /** Ends of relays; null for a router that offers none. */
+  readonly relayEnds?: relayEnd.RelayEnds | null;
 }
 
 /** Dependencies of the handlers of all calls from peers. */
@@ -100,6 +103,7 @@
   | 'requestPermits'
   | 'grantPermits'
   | 'getRoutes'
+  | 'getRelayEnd'
   | 'readPrefix'
   | 'waitForPrefix';
 
@@ -120,6 +124,7 @@
   },
   readPrefix: (params) => context.sharedStore?.serveRead(params) ?? null,
   waitForPrefix: async (params) => (await context.sharedStore?.serveWait(params)) ?? null,
+  getRelayEnd: ({ relayId }) => ({ bytes: context.relayEnds?.find(relayId) ?? null }),
   getRoutes: () => ({ table: context.runtime.getState().routed.routeIndex?.table ?? null }),
   requestPermits: (params) => {
     context.runtime.dispatch({ type: 'permitsRequested', ...params });
--- a/packages/router/src/relays/relayServer.ts
+++ b/packages/router/src/relays/relayServer.ts
@@ -6,6 +6,7 @@
 import type * as routerRuntime from '../routerRuntime.js';
 import * as socketReset from '../upstreams/socketReset.js';
 import * as relayClient from './relayClient.js';
+import type * as relayEnd from './relayEnd.js';
 
 /** Dependencies of the relays that a router offers to its peers. */
 export interface RelayContext {
@@ -13,6 +14,7 @@
   readonly log: pino.Logger;
   readonly secret: string;
   readonly localAddress: string;
+  readonly ends: relayEnd.RelayEnds;
   /** Returns whether this router reaches an address on its own path; it must not relay through yet another peer. */
   readonly hasOwnPath: (address: string) => boolean;
   /** Returns whether this router is stopping, so that it opens no more relays. */
@@ -23,22 +25,12 @@
 export interface RelayServer {
   /** Returns the number of open relays. */
   readonly countOpen: () => number;
-  /** Ends each relay once it carries no answer; resolves when all have ended, or when `isOver` does. */
+  /** Resolves when all relays have ended, or when `isOver` returns true; the peers end those that carry no answer. */
   readonly drain: (isOver: () => boolean) => Promise<void>;
-  /** Cuts all relays. */
+  /** Cuts all relays with a reset, which a peer cannot take for the end of an answer. */
   readonly close: () => void;
 }
 
-/** A relay in use. */
-interface OpenRelay {
-  /** True while the upstream owes an answer, as far as the bytes show. */
-  isAwaiting: boolean;
-  /** Time of the last byte from the upstream, in milliseconds. */
-  lastByteAtMs: number;
-}
-
-/** Time after the last byte from the upstream after which an answer counts as ended, in milliseconds. */
-const ANSWERED_MS = 1_500;
 /** Interval at which a stopping router checks its relays, in milliseconds. */
 const DRAIN_POLL_MS = 50;
 
@@ -65,7 +57,11 @@
  * Joins a peer's connection with one to an upstream. The peer must be able to tell an answer that ends from one that is
  * reset, and the upstream that the peer left, so both ends are passed on as they came.
  */
-const joinConnections = (peer: net.Socket, upstream: net.Socket): void => {
+const joinConnections = (
+  peer: net.Socket,
+  upstream: net.Socket,
+  handleEnd: (bytes: number) => void,
+): void => {
   [peer, upstream].forEach((socket) => socket.setNoDelay(true));
   forwardBytes(peer, upstream);
   forwardBytes(upstream, peer);
@@ -73,13 +69,14 @@
     if (socketReset.isReset(upstream)) {
       peer.resetAndDestroy();
     } else {
+      handleEnd(upstream.bytesRead);
       peer.end();
     }
   });
   upstream.once('error', () => peer.resetAndDestroy());
   upstream.once('close', () => {
     if (!peer.writableEnded) {
-      peer.destroy();
+      peer.resetAndDestroy();
     }
   });
   peer.once('end', () => upstream.destroy());
@@ -90,7 +87,7 @@
 /** Offers relays to upstreams on the peers' listener: to those in the host list, with a valid signature. */
 export const serveRelays = (server: http.Server, context: RelayContext): RelayServer => {
   const { runtime, log, secret, localAddress } = context;
-  const open = new Map<net.Socket, OpenRelay>();
+  const open = new Set<net.Socket>();
   const findAddress = (request: http.IncomingMessage): string | null => {
     const path = request.url ?? '';
     const signed = String(request.headers[signature.SIGNATURE_HEADER] ?? '');
@@ -117,8 +114,7 @@
       socket.end(REFUSAL);
       return;
     }
-    const relay: OpenRelay = { isAwaiting: false, lastByteAtMs: -Infinity };
-    open.set(socket, relay);
+    open.add(socket);
     socket.once('close', () => open.delete(socket));
     const upstream = net.connect({
       ...shared.settings.parseAddress(address),
@@ -148,30 +144,28 @@
       if (head.length > 0) {
         upstream.write(head);
       }
-      socket.on('data', () => {
-        relay.isAwaiting = true;
-      });
-      upstream.on('data', () => {
-        relay.isAwaiting = false;
-        relay.lastByteAtMs = performance.now();
+      const relayId = request.headers[relayClient.RELAY_ID_HEADER];
+      joinConnections(socket, upstream, (bytes) => {
+        // Routers of older versions send no id.
+        if (typeof relayId === 'string') {
+          context.ends.record(relayId, bytes);
+        }
       });
-      joinConnections(socket, upstream);
     });
   });
-  const endAnswered = (): void =>
-    open.forEach(({ isAwaiting, lastByteAtMs }, socket) => {
-      if (!isAwaiting && performance.now() - lastByteAtMs > ANSWERED_MS) {
-        socket.destroySoon();
-      }
-    });
   return {
     countOpen: () => open.size,
     drain: async (isOver) => {
-      for (endAnswered(); open.size > 0 && !isOver(); endAnswered()) {
+      while (open.size > 0 && !isOver()) {
         // eslint-disable-next-line no-await-in-loop -- each check follows a pause
         await shared.delay.wait(DRAIN_POLL_MS);
       }
     },
-    close: () => open.forEach((_, socket) => socket.destroy()),
+    close: () => {
+      if (open.size > 0) {
+        log.info({ open: open.size }, 'relays cut');
+      }
+      open.forEach((socket) => socket.resetAndDestroy());
+    },
   };
 };
--- a/packages/router/src/routed/routedAttempt.ts
+++ b/packages/router/src/routed/routedAttempt.ts
@@ -331,15 +331,10 @@
       }
     }
   };
-  const handleEnd = (): void => {
-    stopTimer();
+  const finishAnswer = (): void => {
     if (isClosed || head === null) {
       return;
     }
-    if (pools.wasReset()) {
-      abortAndFail('broken', 'the answer ends with a reset');
-      return;
-    }
     if (send.isStream && isSuccess(head.status)) {
       if (splitter.countBufferedBytes() > 0) {
         abortAndFail('broken', 'the answer ends within an event');
@@ -367,6 +362,30 @@
     const failure = isUnsent && attemptFailure.isConnectError(error) ? 'unreachable' : 'broken';
     fail({ failure, isUnsent, isNotRun: isUnsent, reason: error.message });
   };
+  const handleEnd = (): void => {
+    stopTimer();
+    if (isClosed || head === null) {
+      return;
+    }
+    if (pools.wasReset()) {
+      abortAndFail('broken', 'the answer ends with a reset');
+      return;
+    }
+    const confirmation = isUnframed(head.headers) ? pools.verifyEnd() : null;
+    if (confirmation === null) {
+      finishAnswer();
+      return;
+    }
+    confirmation
+      .then((isConfirmed) => {
+        if (isConfirmed) {
+          finishAnswer();
+        } else {
+          abortAndFail('broken', 'the relay ended, and the end of the answer is not confirmed');
+        }
+      })
+      .catch(handleError);
+  };
 
   /** Fails the attempt as unsent if the request is no longer due; returns whether it did. */
   const failIfOverdue = (): boolean => {
--- a/packages/router/src/routed/startRoutedRouter.ts
+++ b/packages/router/src/routed/startRoutedRouter.ts
@@ -13,6 +13,7 @@
 import * as rpcClient from '../peers/rpcClient.js';
 import * as rpcServer from '../peers/rpcServer.js';
 import * as relayClient from '../relays/relayClient.js';
+import * as relayEnd from '../relays/relayEnd.js';
 import * as relayServer from '../relays/relayServer.js';
 import * as upstreamPaths from '../relays/upstreamPaths.js';
 import * as routerRuntime from '../routerRuntime.js';
@@ -192,7 +193,7 @@
   const paths = upstreamPaths.makeUpstreamPaths(
     runtime,
     log,
-    relayClient.makeRelayClient(settings.peerSecret, getLocalAddress(settings)),
+    relayClient.makeRelayClient(settings.peerSecret, getLocalAddress(settings), client),
   );
   const pools = connectionPools.makeConnectionPools(getLocalAddress(settings), barrier, paths);
   const parts: RoutedRouterParts = {
@@ -256,15 +257,17 @@
     intake.getTimeSinceOverdueMs() > OVERLOADED_MS &&
     clock.getAgeMs() <= getBounds().revocationMs * READY_AGE_SHARE;
   const readiness = routedServer.makeReadyServer(isReady);
+  const relayEnds = relayEnd.makeRelayEnds();
   const peers = rpcServer.makeRpcServer(
     settings.peerSecret,
-    peerHandlers.makeMemberHandlers({ ...parts, sharedStore: source.sharedReads }),
+    peerHandlers.makeMemberHandlers({ ...parts, sharedStore: source.sharedReads, relayEnds }),
   );
   const relays = relayServer.serveRelays(peers.server, {
     runtime,
     log: parts.log,
     secret: settings.peerSecret,
     localAddress: getLocalAddress(settings),
+    ends: relayEnds,
     hasOwnPath: (address) => !parts.paths.isRelayed(address),
     isLeaving,
   });
--- a/packages/router/src/upstreams/connectionPools.ts
+++ b/packages/router/src/upstreams/connectionPools.ts
@@ -1,6 +1,7 @@
 import type * as net from 'node:net';
 import * as undici from 'undici';
 import type * as inputBarrier from '../eventLoop/inputBarrier.js';
+import * as relayEnd from '../relays/relayEnd.js';
 import * as socketReset from './socketReset.js';
 
 /** Connect timeout, in milliseconds; live upstreams accept within a few milliseconds. */
@@ -20,6 +21,11 @@
    * last bytes of an answer without a length looks like its normal end; only this check distinguishes the two.
    */
   readonly wasReset: () => boolean;
+  /**
+   * Verifies that the connection of the answer that is just ending was ended by its upstream; null if no peer relays
+   * it, so that the end is the upstream's own.
+   */
+  readonly verifyEnd: () => Promise<boolean> | null;
   readonly close: () => Promise<void>;
 }
 
@@ -38,6 +44,7 @@
 interface ClosingConnection {
   readonly record: (socket: net.Socket) => void;
   readonly wasReset: () => boolean;
+  readonly verifyEnd: () => Promise<boolean> | null;
 }
 
 /** Code of an error that the library takes for the end of an answer without a length. */
@@ -65,6 +72,7 @@
       });
     },
     wasReset: () => closing !== null && socketReset.isReset(closing),
+    verifyEnd: () => (closing === null ? null : relayEnd.verifyEnd(closing)),
   };
 };
 
@@ -164,6 +172,7 @@
       previous?.close().catch(() => undefined);
     },
     wasReset: closing.wasReset,
+    verifyEnd: closing.verifyEnd,
     close: async () => {
       await Promise.all(Array.from(pools.values()).map((pool) => pool.destroy()));
       pools.clear();
