fix(router): the fingerprint of a routed request covers host and path

With few sound requests, all GET requests of the key were refused instead. Cause: the hash read the URL that the server had rewritten to "/", so requests without a body and with one key shared evidence. The host was left out, and the fields were joined with a character that each may contain. Change: method, host, path with query, key and body are hashed unambiguously. A request with a body is also known by the former hash, so that both builds add up their evidence; the former hash of one without a body is neither sent nor taken. Compatible: exactId in crash reports and stored guards is optional.

--- a/packages-private/stand-ins/src/crashingPool.ts
+++ b/packages-private/stand-ins/src/crashingPool.ts
@@ -10,6 +10,8 @@
   readonly count: number;
   /** Id of the prompt part that crashes each upstream that begins to write an answer on it, except as the last part. */
   readonly crashPart: string;
+  /** Path of requests that crash each upstream that begins to write an answer on them; null for none. */
+  readonly crashUrl?: string | null;
   readonly behaviour: routedUpstream.Behaviour;
   readonly connectionEnd: routedUpstream.ConnectionEnd;
   /** Time from the arrival of a request with the part to the start of its answer, in milliseconds. */
@@ -82,7 +84,8 @@
       });
     };
     const upstream = await routedUpstream.startRoutedUpstream(id, (received, response) => {
-      const isPoisoned = hasSharedPart(received, options.crashPart);
+      const isPoisoned =
+        hasSharedPart(received, options.crashPart) || received.url === options.crashUrl;
       if (isPoisoned) {
         arrivals.push({ requestId: received.id, upstreamId: id, atMs: performance.now() });
         schedule(options.workMs, () => crashOn(received, response));
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -30,6 +30,7 @@
 export * as requestState from './requestState.js';
 export * as guardNews from './routed/guardNews.js';
 export * as guardState from './routed/guardState.js';
+export * as guardUpdates from './routed/guardUpdates.js';
 export * as routedCrashes from './routed/routedCrashes.js';
 export * as rollouts from './rollouts.js';
 export * as routerState from './routerState.js';
--- a/packages/core/src/routed/guardNews.ts
+++ b/packages/core/src/routed/guardNews.ts
@@ -149,7 +149,7 @@
             record,
             record.requests
               .valueSeq()
-              .filter((request) => known.get(request.id) !== request)
+              .filter((request) => known.get(guardState.getExactId(request)) !== request)
               .toArray(),
             nowMs,
           ),
--- a/packages/core/src/routed/guardState.ts
+++ b/packages/core/src/routed/guardState.ts
@@ -3,8 +3,10 @@
 
 /** A request on an upstream that crashed, as evidence against the keys of the request. */
 export interface AccusedRequest {
-  /** Hash of the request. */
+  /** Hash of the request as the former build computes it; if `exactId` is absent, the exact hash or a former one. */
   readonly id: string;
+  /** Exact hash of the request; routers of the former build send none. */
+  readonly exactId?: string;
   /** Ids of the prompt parts that other requests may share. */
   readonly parts: readonly string[];
   /** True if the upstream had just begun the answer, false if it may not have begun it. */
@@ -99,7 +101,8 @@
 
 /** Describes a call as evidence. The last part of a prompt belongs to its request alone. */
 export const makeAccused = (call: routedState.RoutedCall, hasBegun: boolean): AccusedRequest => ({
-  id: call.fingerprint.slice(0, ID_LENGTH),
+  id: (call.formerFingerprint ?? call.fingerprint).slice(0, ID_LENGTH),
+  ...(call.formerFingerprint === null ? {} : { exactId: call.fingerprint.slice(0, ID_LENGTH) }),
   parts: Array.from(new Set(call.parts.slice(0, -1).map((part) => part.id))).slice(0, MAX_PARTS),
   hasBegun,
 });
@@ -107,6 +110,7 @@
 /** Lists the keys of a request that may be the cause of a crash. */
 export const listKeys = (request: AccusedRequest): readonly string[] => [
   makeRequestKey(request.id),
+  ...(request.exactId === undefined ? [] : [makeRequestKey(request.exactId)]),
   ...request.parts.map(makePartKey),
 ];
 
@@ -143,17 +147,21 @@
   ),
 });
 
+/** Returns the most exact hash of a request. */
+export const getExactId = ({ id, exactId }: AccusedRequest): string => exactId ?? id;
+
 const mergeRequest = (
   requests: immutable.Map<string, AccusedRequest>,
   request: AccusedRequest,
 ): immutable.Map<string, AccusedRequest> => {
-  const known = requests.get(request.id);
+  const exactId = getExactId(request);
+  const known = requests.get(exactId);
   if (known === undefined) {
-    return requests.size < MAX_REQUESTS ? requests.set(request.id, request) : requests;
+    return requests.size < MAX_REQUESTS ? requests.set(exactId, request) : requests;
   }
   const newParts = request.parts.filter((part) => !known.parts.includes(part));
   return newParts.length > 0 || (request.hasBegun && !known.hasBegun)
-    ? requests.set(request.id, {
+    ? requests.set(exactId, {
         ...known,
         parts: [...known.parts, ...newParts].slice(0, MAX_PARTS),
         hasBegun: known.hasBegun || request.hasBegun,
--- a/packages/core/src/routed/routedState.ts
+++ b/packages/core/src/routed/routedState.ts
@@ -26,8 +26,10 @@
   readonly lastEventId: number | null;
   /** Name of the caller's session, or null. */
   readonly session: string | null;
-  /** Hash of method, path, caller and body; equal for repetitions of a request. */
+  /** Hash of method, host, path, caller and body; equal for repetitions of a request. */
   readonly fingerprint: string;
+  /** Hash by which routers of the former build know the request, or null if other requests have it too. */
+  readonly formerFingerprint: string | null;
 }
 
 /** Part of a request's state that only routed requests have. */
--- a/packages/router/__tests__/routedAttempt.spec.ts
+++ b/packages/router/__tests__/routedAttempt.spec.ts
@@ -70,6 +70,7 @@
   headers: {},
   body: Buffer.alloc(0),
   fingerprint: 'f',
+  formerFingerprint: null,
   response: new http.ServerResponse(new http.IncomingMessage(new net.Socket())),
   arrivedAtMs: 0,
   readAtMs: 0,
--- a/packages/router/src/routed/guardRecords.ts
+++ b/packages/router/src/routed/guardRecords.ts
@@ -26,7 +26,12 @@
       upstreamId: zod.string(),
       atMs: zod.number(),
       requests: zod.array(
-        zod.object({ id: zod.string(), parts: zod.array(zod.string()), hasBegun: zod.boolean() }),
+        zod.object({
+          id: zod.string(),
+          exactId: zod.string().exactOptional(),
+          parts: zod.array(zod.string()),
+          hasBegun: zod.boolean(),
+        }),
       ),
     }),
   ),
--- a/packages/router/src/routed/pendingRoutedRequest.ts
+++ b/packages/router/src/routed/pendingRoutedRequest.ts
@@ -32,8 +32,10 @@
   readonly rawHeaders: readonly string[];
   readonly headers: platform.callHeaders.ParsedHeaders;
   readonly body: Buffer;
-  /** Hash of method, path, caller and body. */
+  /** Hash of method, host, path, caller and body. */
   readonly fingerprint: string;
+  /** Hash by which routers of the former build know the request, or null if other requests have it too. */
+  readonly formerFingerprint: string | null;
   readonly response: http.ServerResponse;
   /** Earliest time at which the request can have arrived, on the monotonic clock, in milliseconds. */
   readonly arrivedAtMs: number;
--- a/packages/router/src/routed/routedServer.ts
+++ b/packages/router/src/routed/routedServer.ts
@@ -80,8 +80,27 @@
   return Buffer.concat(chunks);
 };
 
-const hashRequest = (request: http.IncomingMessage, key: string | null, body: Buffer): string =>
-  shared.hash.hashDigest(`${request.method}|${request.url}|${key}|${body.toString('latin1')}`);
+/** Hashes what makes a request the same one: method, host, path with its query, key and body. */
+const hashRequest = (
+  { method = 'GET', headers }: http.IncomingMessage,
+  url: string,
+  key: string | null,
+  body: Buffer,
+): string =>
+  shared.hash.hashFields([method, String(headers.host ?? '').toLowerCase(), url, key], body);
+
+/**
+ * Hashes a request as routers of the former build do, which leave out host and path. Without a body, the hash stands for
+ * all requests of one key, so that it says nothing of this one.
+ */
+const hashAsFormerBuild = (
+  { method }: http.IncomingMessage,
+  key: string | null,
+  body: Buffer,
+): string | null =>
+  body.length === 0
+    ? null
+    : shared.hash.hashDigest(`${method}|/|${key}|${body.toString('latin1')}`);
 
 const getPath = (url: string): string => url.split('?', 1)[0] ?? url;
 
@@ -106,6 +125,7 @@
       lastEventId: call.lastEventId,
       session: call.session,
       fingerprint: pending.fingerprint,
+      formerFingerprint: pending.formerFingerprint,
     },
     tableAgeMs: context.clock.getAgeMs(),
     waitedMs: performance.now() - pending.arrivedAtMs,
@@ -142,7 +162,8 @@
     rawHeaders: request.rawHeaders,
     headers: request.headers,
     body,
-    fingerprint: hashRequest(request, call.key, body),
+    fingerprint: hashRequest(request, url, call.key, body),
+    formerFingerprint: hashAsFormerBuild(request, call.key, body),
     response,
     arrivedAtMs,
     readAtMs,
