fix(router): readers of the store give signs of life while they hold a call

Cause: a held call is silent, so a reader that stands still was noticed only at the end of the poll and a second more: 5 s for the list of upstreams, 2.5 s for the configuration; the next reader got the same wait. All waits derive from one bound. "reader silent" is logged.

--- a/packages/router/src/routed/sharedStore.ts
+++ b/packages/router/src/routed/sharedStore.ts
@@ -10,6 +10,14 @@
 
 /** Time by which a call to a reader may exceed the wait that it asks for, in milliseconds. */
 const WAIT_MARGIN_MS = 1_000;
+/** Time within which a change has to be known to a router whose reader gives no answer, in milliseconds. */
+const NEWS_MS = 2_000;
+/** Time without a sign of life after which a reader that holds a call counts as silent, in milliseconds. */
+const SILENCE_MS = 0.45 * NEWS_MS;
+/** Longest wait at a reader that gives no signs of life, in milliseconds; routers of the former build give none. */
+const UNWATCHED_HOLD_MS = 0.2 * NEWS_MS;
+/** Timeout of a call to a reader after another one was silent, in milliseconds. */
+const NEXT_READER_TIMEOUT_MS = 0.15 * NEWS_MS;
 /** Timeout of a read of a prefix through a reader, in milliseconds. */
 const READ_TIMEOUT_MS = 600;
 /** Age above that of a wait at which what a reader knows counts as outdated, in milliseconds. */
@@ -131,20 +139,27 @@
     }
     wakeWaiters(entry);
   };
-  /** Asks the readers in turn; null if none has an answer that is recent enough. */
+  /**
+   * Asks the readers in turn; null if none has an answer that is recent enough. After a silent one, news may already be
+   * late, so the next ones are asked for what they know.
+   */
   const askReaders = async <
     T extends { readonly ageMs: number; readonly isFailing: boolean; readonly isLarge: boolean },
   >(
-    ask: (address: string) => Promise<T | null>,
+    ask: (address: string, isLate: boolean) => Promise<T | null>,
     maxAgeMs: number,
   ): Promise<T | null> => {
     const readers = core.storeReaders
       .listReaders(runtime.getState().members)
       .filter((address) => (silentUntilMs.get(address) ?? -Infinity) < performance.now());
+    let isLate = false;
     for (const address of readers) {
+      const askedAtMs = performance.now();
       // eslint-disable-next-line no-await-in-loop -- the next reader is asked only if this one has no answer
-      const reply = await ask(address);
+      const reply = await ask(address, isLate);
       if (reply === null) {
+        isLate = true;
+        log.info({ address, afterMs: Math.round(performance.now() - askedAtMs) }, 'reader silent');
         silentUntilMs.set(address, performance.now() + SILENT_READER_MS);
       } else if (reply.ageMs <= maxAgeMs && !reply.isFailing && !reply.isLarge) {
         recordSource(address);
@@ -176,7 +191,13 @@
     const { takeReading } = getKnown(prefix).clock;
     const reading = takeReading();
     const reply = await askReaders(
-      (address) => client.call(address, 'readPrefix', { prefix }, READ_TIMEOUT_MS),
+      (address, isLate) =>
+        client.call(
+          address,
+          'readPrefix',
+          { prefix },
+          isLate ? NEXT_READER_TIMEOUT_MS : READ_TIMEOUT_MS,
+        ),
       READ_TIMEOUT_MS + AGE_MARGIN_MS,
     );
     const started = reply === null ? takeReading() : reading;
@@ -207,16 +228,26 @@
     const { takeReading } = clock;
     const reading = takeReading();
     const holdMs = isFailing ? Math.max(waitMs, RECOVERY_HOLD_MS) : waitMs;
-    const reply = await askReaders(
-      (address) =>
-        client.call(
-          address,
-          'waitForPrefix',
-          { prefix, after, waitMs: holdMs, ageMs: clock.getAgeMs(), isFailing },
-          holdMs + WAIT_MARGIN_MS,
-        ),
-      holdMs + AGE_MARGIN_MS,
-    );
+    const askToWait = (
+      address: string,
+      readerWaitMs: number,
+      timeoutMs: number,
+    ): Promise<messages.PeerResult<'waitForPrefix'>> =>
+      client.callHeld(
+        address,
+        'waitForPrefix',
+        { prefix, after, waitMs: readerWaitMs, ageMs: clock.getAgeMs(), isFailing },
+        timeoutMs,
+        SILENCE_MS,
+      );
+    const reply = await askReaders((address, isLate) => {
+      const readerWaitMs = client.hasHeartbeat(address)
+        ? holdMs
+        : Math.min(holdMs, UNWATCHED_HOLD_MS);
+      return isLate
+        ? askToWait(address, 0, NEXT_READER_TIMEOUT_MS)
+        : askToWait(address, readerWaitMs, readerWaitMs + WAIT_MARGIN_MS);
+    }, holdMs + AGE_MARGIN_MS);
     const started = reply === null ? takeReading() : reading;
     const outcome =
       reply === null
