fix(router): answers without end are bounded in memory, bytes and time

Callers saw (users' plays): an upstream that sends a body without end took 774 to 1,211 MB of a router, where machines have 88 to 350 MB; informational answers without end took its processor, so that 97 requests were served in 8 s. Cause: each answer could take 16 MiB and a copy, and nothing bounded the sum; status lines, chunk extensions, chunk lengths and informational answers were read until the timeout; an answer that was too large did not count against its upstream.

--- a/packages-private/measure/__tests__/unreachableUpstreams.spec.ts
+++ b/packages-private/measure/__tests__/unreachableUpstreams.spec.ts
@@ -309,3 +309,26 @@
   t.true(performance.now() - startedAtMs < GRACE_MS);
   t.is(countReceived(site, 'apart'), 1);
 });
+
+test.serial(
+  'an answer without end through a peer is closed, and another one is given',
+  async (t) => {
+    const site = await startCutSite(t, '127.0.231');
+    site.forwarders.forEach((forwarder) => forwarder.cut('break'));
+    await sendEarlyCalls(site);
+    const [endless, sound] = site.upstreams;
+    if (endless === undefined || sound === undefined) {
+      throw new Error('expected two upstreams');
+    }
+    endless.behaviour = { kind: 'endless', part: 'unframed' };
+    sound.behaviour = { kind: 'answer', status: 200, body: 'whole' };
+    const responses = await Promise.all(
+      Array.from({ length: 6 }, (_, call) => site.call({ path: '/read/', id: `endless-${call}` })),
+    );
+    t.deepEqual(
+      responses.map(({ status, body }) => `${status} ${body}`),
+      responses.map(() => '200 whole'),
+    );
+    await standIns.control.waitUntil(() => endless.countOpen() === 0);
+  },
+);
--- a/packages-private/stand-ins/src/routedUpstream.ts
+++ b/packages-private/stand-ins/src/routedUpstream.ts
@@ -14,6 +14,24 @@
   readonly body: string;
 }
 
+/** Parts of an answer that can go on without end; `refusal` is the body of one that is marked as not run. */
+export type EndlessPart =
+  | 'head'
+  | 'body'
+  | 'refusal'
+  | 'statusLine'
+  | 'headerName'
+  | 'headerValue'
+  | 'informational'
+  | 'chunkExtension'
+  | 'chunkLength'
+  | 'trailers'
+  | 'afterAnswer'
+  | 'unframed'
+  | 'event'
+  | 'smallPieces'
+  | 'raw';
+
 /** How a stand-in of an upstream answers requests. */
 export type Behaviour =
   | { readonly kind: 'answer'; readonly status: number; readonly body: string }
@@ -52,8 +70,8 @@
     }
   /** The head of an answer, which is written in the same turn of the event loop. */
   | { readonly kind: 'head'; readonly status: number }
-  /** Bytes without end in the head of an answer, in its body, or in the body of a refusal marked as not run. */
-  | { readonly kind: 'endless'; readonly part: 'head' | 'body' | 'refusal' }
+  /** Bytes without end in one part of an answer. */
+  | { readonly kind: 'endless'; readonly part: EndlessPart }
   /** An answer without the stamp of the upstream. */
   | { readonly kind: 'unsigned' };
 
@@ -83,6 +101,8 @@
   readonly arrivedAtMs: readonly number[];
   /** Number of requests whose connection is open and whose answer has not ended. */
   readonly countOpen: () => number;
+  /** Returns the bytes that were sent on connections that have closed. */
+  readonly countSentBytes: () => number;
   /** Answers the requests that hang, in the same turn of the event loop. */
   readonly answerHeld: (behaviour: Behaviour) => void;
   /** Accepts no new connections; those that are open stay. */
@@ -116,6 +136,59 @@
   }
 };
 
+const FILLER = 'x'.repeat(0x8000);
+
+/** What is written once and then again and again, for each part; the stamps name the request and its upstream. */
+const ENDLESS_ANSWERS: Readonly<
+  Record<EndlessPart, (stamps: string) => { readonly begin: string; readonly more: string }>
+> = {
+  head: (stamps) => ({
+    begin: `HTTP/1.1 200 OK\r\n${stamps}\r\n`,
+    more: `x-more: ${'x'.repeat(1_000)}\r\n`,
+  }),
+  body: (stamps) => ({
+    begin: `HTTP/1.1 200 OK\r\n${stamps}\r\ntransfer-encoding: chunked\r\n\r\n`,
+    more: ENDLESS_CHUNK,
+  }),
+  refusal: (stamps) => ({
+    begin: `HTTP/1.1 503 Full\r\n${stamps}\r\n${H.notRun}: 1\r\ntransfer-encoding: chunked\r\n\r\n`,
+    more: ENDLESS_CHUNK,
+  }),
+  statusLine: () => ({ begin: 'HTTP/1.1 200 ', more: FILLER }),
+  headerName: (stamps) => ({ begin: `HTTP/1.1 200 OK\r\n${stamps}\r\n`, more: FILLER }),
+  headerValue: (stamps) => ({ begin: `HTTP/1.1 200 OK\r\n${stamps}\r\nx-more: `, more: FILLER }),
+  informational: () => ({
+    begin: '',
+    more: 'HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n'.repeat(200),
+  }),
+  chunkExtension: (stamps) => ({
+    begin: `HTTP/1.1 200 OK\r\n${stamps}\r\ntransfer-encoding: chunked\r\n\r\n5;x=`,
+    more: FILLER,
+  }),
+  chunkLength: (stamps) => ({
+    begin: `HTTP/1.1 200 OK\r\n${stamps}\r\ntransfer-encoding: chunked\r\n\r\n`,
+    more: '0'.repeat(0x8000),
+  }),
+  trailers: (stamps) => ({
+    begin: `HTTP/1.1 200 OK\r\n${stamps}\r\ntransfer-encoding: chunked\r\n\r\n0\r\n`,
+    more: `x-more: ${'x'.repeat(1_000)}\r\n`,
+  }),
+  afterAnswer: (stamps) => ({
+    begin: `HTTP/1.1 200 OK\r\n${stamps}\r\ncontent-length: 5\r\n\r\nwhole`,
+    more: FILLER,
+  }),
+  unframed: (stamps) => ({ begin: `HTTP/1.1 200 OK\r\n${stamps}\r\n\r\n`, more: FILLER }),
+  event: (stamps) => ({
+    begin: `HTTP/1.1 200 OK\r\n${stamps}\r\ncontent-type: ${EVENT_STREAM}\r\n\r\nid: 1\ndata: `,
+    more: FILLER,
+  }),
+  smallPieces: (stamps) => ({
+    begin: `HTTP/1.1 200 OK\r\n${stamps}\r\ntransfer-encoding: chunked\r\n\r\n`,
+    more: '1\r\nx\r\n'.repeat(2_000),
+  }),
+  raw: () => ({ begin: '', more: FILLER }),
+};
+
 type Responder = (
   upstream: RoutedUpstream,
   received: ReceivedRequest,
@@ -252,15 +325,12 @@
   },
   endless: ({ behaviour, id }, received, { socket }) => {
     const part = behaviour.kind === 'endless' ? behaviour.part : 'body';
-    const stamps = `${H.requestId}: ${received.id}\r\n${H.stamp}: of-${id}`;
-    const heads = {
-      head: `HTTP/1.1 200 OK\r\n${stamps}\r\n`,
-      body: `HTTP/1.1 200 OK\r\n${stamps}\r\ntransfer-encoding: chunked\r\n\r\n`,
-      refusal: `HTTP/1.1 503 Full\r\n${stamps}\r\n${H.notRun}: 1\r\ntransfer-encoding: chunked\r\n\r\n`,
-    };
+    const { begin, more } = ENDLESS_ANSWERS[part](
+      `${H.requestId}: ${received.id}\r\n${H.stamp}: of-${id}`,
+    );
     if (socket !== null) {
-      socket.write(heads[part]);
-      writeEndlessly(socket, part === 'head' ? `x-more: ${'x'.repeat(1_000)}\r\n` : ENDLESS_CHUNK);
+      socket.write(begin);
+      writeEndlessly(socket, more);
     }
   },
   unsigned: (_, received, response) => {
@@ -289,6 +359,7 @@
   const arrivedAtMs: number[] = [];
   const cancelled: string[] = [];
   let openCount = 0;
+  let sentBytes = 0;
   let held: (() => void)[] = [];
   const state: Pick<
     RoutedUpstream,
@@ -343,7 +414,10 @@
   });
   server.on('connection', (socket) => {
     sockets.add(socket);
-    socket.once('close', () => sockets.delete(socket));
+    socket.once('close', () => {
+      sockets.delete(socket);
+      sentBytes += socket.bytesWritten - socket.writableLength;
+    });
   });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', () => resolve());
@@ -357,6 +431,7 @@
     arrivedAtMs,
     cancelled,
     countOpen: () => openCount,
+    countSentBytes: () => sentBytes,
     answerHeld: (behaviour: Behaviour) => {
       state.behaviour = behaviour;
       const answers = held;
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -26,10 +26,18 @@
 /**
  * Reason why an attempt of a routed request ended without a complete answer. `turnedAway`: the
  * upstream reported that it did not run the request. `misdirected`: another upstream listens at the
- * address. `overdue`: when the request was about to be sent, it was no longer due there.
+ * address. `overdue`: when the request was about to be sent, it was no longer due there. `excessive`:
+ * the upstream sent more than an answer may have.
  */
 export type RoutedFailure =
-  'unreachable' | 'broken' | 'silent' | 'garbage' | 'turnedAway' | 'misdirected' | 'overdue';
+  | 'unreachable'
+  | 'broken'
+  | 'silent'
+  | 'garbage'
+  | 'excessive'
+  | 'turnedAway'
+  | 'misdirected'
+  | 'overdue';
 
 /** Payloads of all events, by type. */
 export interface EventPayloads {
--- a/packages/core/src/routed/routedAnswers.ts
+++ b/packages/core/src/routed/routedAnswers.ts
@@ -340,6 +340,7 @@
   'broken',
   'silent',
   'garbage',
+  'excessive',
 ]);
 
 /** Recovers a failed attempt; the failure is evidence for a canary if the upstream's version may be the cause. */
--- a/packages/core/src/routed/routedRetry.ts
+++ b/packages/core/src/routed/routedRetry.ts
@@ -134,6 +134,7 @@
   broken: () => countFailure,
   silent: () => countFailure,
   garbage: () => (upstream) => upstream,
+  excessive: () => countFailure,
   turnedAway: markFull,
   misdirected: () => markLeaving,
   overdue: () => (upstream) => upstream,
@@ -184,6 +185,7 @@
   broken: 'upstreamFailed',
   silent: 'deadlineExceeded',
   garbage: 'upstreamGarbage',
+  excessive: 'upstreamGarbage',
   // Used only if an earlier send may have been executed; otherwise the request is refused as not run.
   turnedAway: 'upstreamFailed',
   misdirected: 'upstreamFailed',
--- a/packages/router/__tests__/routedAttempt.spec.ts
+++ b/packages/router/__tests__/routedAttempt.spec.ts
@@ -7,6 +7,7 @@
 import type * as inputBarrier from '../src/eventLoop/inputBarrier.js';
 import type * as pendingRoutedRequest from '../src/routed/pendingRoutedRequest.js';
 import * as routedAttempt from '../src/routed/routedAttempt.js';
+import * as bufferBudget from '../src/upstreams/bufferBudget.js';
 import type * as connectionPools from '../src/upstreams/connectionPools.js';
 
 interface FakePools {
@@ -33,6 +34,7 @@
       renew: () => undefined,
       wasReset: () => false,
       verifyEnd: () => null,
+      buffers: bufferBudget.makeBufferBudget(),
       close: () => Promise.resolve(),
     },
     open: () => {
--- a/packages/router/src/routed/eventSplitter.ts
+++ b/packages/router/src/routed/eventSplitter.ts
@@ -19,10 +19,13 @@
 
 const EVENT_DELIMITERS = [Buffer.from('\n\n'), Buffer.from('\r\n\r\n')] as const;
 
-/** Returns the index after the first delimiter, or Infinity if there is none. */
-const findEnd = (bytes: Buffer): number => {
+/** Bytes of a delimiter that may have arrived before the rest of it. */
+const SPLIT_BYTES = 3;
+
+/** Returns the index after the first delimiter at or after an offset, or Infinity if there is none. */
+const findEnd = (bytes: Buffer, offset: number): number => {
   const ends = EVENT_DELIMITERS.map((delimiter) => {
-    const index = bytes.indexOf(delimiter);
+    const index = bytes.indexOf(delimiter, offset);
     return index === -1 ? Infinity : index + delimiter.length;
   });
   return Math.min(...ends);
@@ -35,21 +38,45 @@
 
 /** Creates a splitter for the body of one answer. */
 export const makeEventSplitter = (): EventSplitter => {
-  let buffered: Buffer = Buffer.alloc(0);
+  /** Bytes of an incomplete event, and room for more, so that small pieces are not joined anew each time. */
+  let held: Buffer = Buffer.alloc(0);
+  let heldBytes = 0;
+  const append = (bytes: Buffer): Buffer => {
+    if (heldBytes === 0) {
+      return bytes;
+    }
+    const length = heldBytes + bytes.length;
+    if (length > held.length) {
+      const next = Buffer.allocUnsafe(Math.max(length, heldBytes * 2));
+      held.copy(next, 0, 0, heldBytes);
+      held = next;
+    }
+    bytes.copy(held, heldBytes);
+    return held.subarray(0, length);
+  };
   return {
     push: (bytes) => {
-      buffered = buffered.length === 0 ? bytes : Buffer.concat([buffered, bytes]);
+      const searchFrom = Math.max(0, heldBytes - SPLIT_BYTES);
+      const joined = append(bytes);
       const events: StreamEvent[] = [];
-      for (let end = findEnd(buffered); end !== Infinity; end = findEnd(buffered)) {
-        const complete = buffered.subarray(0, end);
+      let start = 0;
+      let end = findEnd(joined, searchFrom);
+      while (end !== Infinity) {
+        const complete = joined.subarray(start, end);
         events.push({ id: parseId(complete), bytes: complete });
-        buffered = buffered.subarray(end);
+        start = end;
+        end = findEnd(joined, start);
+      }
+      // Events that were returned are still in use, so what follows them is appended to a copy.
+      if (heldBytes === 0 || start > 0) {
+        held = joined.subarray(start);
       }
-      if (buffered.length > MAX_EVENT_BYTES) {
+      heldBytes = joined.length - start;
+      if (heldBytes > MAX_EVENT_BYTES) {
         throw new RangeError(`an event exceeds ${MAX_EVENT_BYTES} bytes`);
       }
       return events;
     },
-    countBufferedBytes: () => buffered.length,
+    countBufferedBytes: () => heldBytes,
   };
 };
--- a/packages/router/src/routed/routedAttempt.ts
+++ b/packages/router/src/routed/routedAttempt.ts
@@ -4,6 +4,7 @@
 import type * as undici from 'undici';
 import type * as inputBarrier from '../eventLoop/inputBarrier.js';
 import * as attemptFailure from '../upstreams/attemptFailure.js';
+import type * as bufferBudget from '../upstreams/bufferBudget.js';
 import type * as connectionPools from '../upstreams/connectionPools.js';
 import * as eventSplitter from './eventSplitter.js';
 import type * as pendingRoutedRequest from './pendingRoutedRequest.js';
@@ -77,8 +78,10 @@
 const EVENT_STREAM = 'text/event-stream';
 /** Statuses that claim that the request was not run, which only the upstream can know and has to prove. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 429, 503]);
-/** Largest answer that is buffered until it is complete, in bytes. */
-const MAX_BUFFERED_BYTES = 16_777_216;
+/** Memory that a piece of an answer takes beside its bytes, in bytes. */
+const PIECE_BYTES = 512;
+/** Informational answers before the answer to a request that are accepted. */
+const MAX_INFORMATIONAL = 16;
 
 /** Bytes of a failed answer that are read so that its connection can be used again. */
 const MAX_DISCARDED_BYTES = 65_536;
@@ -138,6 +141,9 @@
   let headAtMs = 0;
   let buffered: Buffer[] = [];
   let bufferedBytes = 0;
+  let bodyBytes = 0;
+  let share: bufferBudget.BufferShare | null = null;
+  let informationalCount = 0;
   let discardedBytes = 0;
   let eventCount = 0;
   let firstEventAtMs = 0;
@@ -149,6 +155,10 @@
   const closeAttempt = (): void => {
     if (!isClosed) {
       isClosed = true;
+      // An answer that was passed on as a whole is held until the caller has it.
+      if (mode !== 'forwarding' || send.isStream) {
+        share?.release();
+      }
       listener.handleClose();
     }
   };
@@ -173,6 +183,18 @@
     fail({ failure, isUnsent: !isStarted, isNotRun: !isStarted, reason });
     abort(reason);
   };
+  /** Sets how many bytes of the answer are held. */
+  const resizeShare = (bytes: number): void => {
+    if (bytes > 0 || share !== null) {
+      share ??= pools.buffers.open(() =>
+        abortAndFail(
+          'excessive',
+          'the answer is the largest, and all together take too much memory',
+        ),
+      );
+      share.resize(bytes);
+    }
+  };
   /**
    * Restarts the timeout of the attempt. When it fires, and no input that had arrived restarts it, the pool of the
    * upstream is renewed, since its open connections may be dead. The attempt fails if its answer has not begun.
@@ -236,8 +258,9 @@
   const forwardBytes = (bytes: Buffer): void => {
     try {
       forwardEvents(bytes);
+      resizeShare(splitter.countBufferedBytes());
     } catch (error) {
-      abortAndFail('garbage', error instanceof Error ? error.message : String(error));
+      abortAndFail('excessive', error instanceof Error ? error.message : String(error));
     }
   };
   const writeHead = (): void => {
@@ -260,11 +283,13 @@
     mode = 'forwarding';
     const chunks = buffered;
     buffered = [];
+    pending.response.once('close', () => share?.release());
     if (send.isStream && isSuccess(head.status)) {
       pending.response.flushHeaders();
       chunks.forEach(forwardBytes);
     } else {
-      pending.response.end(Buffer.concat(chunks));
+      chunks.forEach((chunk) => pending.response.write(chunk));
+      pending.response.end();
     }
   };
   const handleStreamHead = (confidence: number | null): void => {
@@ -313,6 +338,7 @@
     }
   };
   const handleData = (bytes: Buffer): void => {
+    bodyBytes += bytes.length;
     if (mode === 'forwarding') {
       if (!isPaused) {
         restartTimeout(send.gapTimeoutMs);
@@ -321,8 +347,10 @@
     } else if (mode === 'buffering') {
       buffered.push(bytes);
       bufferedBytes += bytes.length;
-      if (bufferedBytes > MAX_BUFFERED_BYTES) {
-        abortAndFail('garbage', `the answer exceeds ${MAX_BUFFERED_BYTES} bytes`);
+      if (bufferedBytes > pools.buffers.maxAnswerBytes) {
+        abortAndFail('excessive', `the answer exceeds ${pools.buffers.maxAnswerBytes} bytes`);
+      } else {
+        resizeShare(bufferedBytes + buffered.length * PIECE_BYTES);
       }
     } else {
       discardedBytes += bytes.length;
@@ -417,6 +445,8 @@
         body: pending.body.length === 0 ? null : pending.body,
         idempotent: false,
         onConnectionEnd: () => controller?.resume(),
+        countBodyBytes: () => bodyBytes,
+        onExcess: (bytes) => abortAndFail('excessive', `${bytes} bytes beside the body`),
       } as connectionPools.PausableOptions,
       {
         onRequestStart: (started) => {
@@ -431,7 +461,12 @@
         },
         onResponseStart: (_, status, headers) => {
           listener.handleActivity();
-          if (!isClosed && status >= FIRST_SUCCESS_STATUS) {
+          if (status < FIRST_SUCCESS_STATUS) {
+            informationalCount += 1;
+            if (informationalCount > MAX_INFORMATIONAL) {
+              abortAndFail('excessive', `more than ${MAX_INFORMATIONAL} informational answers`);
+            }
+          } else if (!isClosed) {
             handleResponse(status, headers);
           }
         },
--- a/packages/router/src/upstreams/callAttempt.ts
+++ b/packages/router/src/upstreams/callAttempt.ts
@@ -1,3 +1,4 @@
+import type * as bufferBudget from './bufferBudget.js';
 import type * as connectionPools from './connectionPools.js';
 import * as attemptFailure from './attemptFailure.js';
 import * as rateLimitHeader from './rateLimitHeader.js';
@@ -26,21 +27,30 @@
 const BUSY_STATUS = 503;
 const FIRST_FAILURE_STATUS = 500;
 
-/** Largest answer of a plain service, in bytes. */
-const MAX_ANSWER_BYTES = 16_777_216;
-
-/** Reads a body as text; resolves to null if it exceeds MAX_ANSWER_BYTES. */
-const readText = async (body: AsyncIterable<Uint8Array>): Promise<string | null> => {
+/** Reads a body as text; resolves to null if it is too large, or the largest when all together are. */
+const readText = async (
+  body: AsyncIterable<Uint8Array>,
+  buffers: bufferBudget.BufferBudget,
+): Promise<string | null> => {
   const chunks: Uint8Array[] = [];
   let bytes = 0;
-  for await (const chunk of body) {
-    chunks.push(chunk);
-    bytes += chunk.length;
-    if (bytes > MAX_ANSWER_BYTES) {
-      return null;
+  let isDropped = false;
+  const share = buffers.open(() => {
+    isDropped = true;
+  });
+  try {
+    for await (const chunk of body) {
+      chunks.push(chunk);
+      bytes += chunk.length;
+      share.resize(bytes);
+      if (isDropped || bytes > buffers.maxAnswerBytes) {
+        return null;
+      }
     }
+    return Buffer.concat(chunks).toString('utf8');
+  } finally {
+    share.release();
   }
-  return Buffer.concat(chunks).toString('utf8');
 };
 
 const classifyStatus = (status: number): attemptFailure.AttemptFailure => ({
@@ -79,7 +89,7 @@
       listener.handleRateLimit(rateLimitHeader.readRateLimit(response.headers));
       const notice = upstreamNotices.readNotice(response.statusCode, response.headers);
       listener.handleNotice(notice.isLeaving, notice.rest);
-      const body = await readText(response.body);
+      const body = await readText(response.body, pools.buffers);
       if (body === null) {
         fail({ failure: 'garbage', isUnsent: false });
       } else if (response.statusCode >= FIRST_FAILURE_STATUS) {
--- a/packages/router/src/upstreams/connectionPools.ts
+++ b/packages/router/src/upstreams/connectionPools.ts
@@ -2,6 +2,7 @@
 import * as undici from 'undici';
 import type * as inputBarrier from '../eventLoop/inputBarrier.js';
 import * as relayEnd from '../relays/relayEnd.js';
+import * as bufferBudget from './bufferBudget.js';
 import * as socketReset from './socketReset.js';
 
 /** Connect timeout, in milliseconds; live upstreams accept within a few milliseconds. */
@@ -26,6 +27,8 @@
    * it, so that the end is the upstream's own.
    */
   readonly verifyEnd: () => Promise<boolean> | null;
+  /** Memory for answers that wait until they can be passed on. */
+  readonly buffers: bufferBudget.BufferBudget;
   readonly close: () => Promise<void>;
 }
 
@@ -36,8 +39,17 @@
    * has to be resumed then, since the library fails at the end of one that is paused and has no length.
    */
   readonly onConnectionEnd?: () => void;
+  /** Returns the bytes of the answer's body that have been handed on. */
+  readonly countBodyBytes?: () => number;
+  /** Called when the upstream has sent too much that is no body, such as a head or trailers without end. */
+  readonly onExcess?: (bytes: number) => void;
 }
 
+/** Bytes of an answer beside its body that are accepted. */
+const MAX_EXTRA_BYTES = 262_144;
+/** The same for each byte of the body, which may come in small chunks. */
+const EXTRA_PER_BODY_BYTE = 8;
+
 type Connector = ReturnType<typeof undici.buildConnector>;
 
 /** Tracks the connection that ends in the current turn of the event loop, if any. */
@@ -118,13 +130,25 @@
 const openClient = (origin: URL, options: undici.Client.Options): undici.Client => {
   const { connect } = options;
   let current: PausableOptions | null = null;
+  let socket: net.Socket | null = null;
+  let bytesBefore = 0;
   const client = new undici.Client(origin, {
     ...options,
     connect: (target, done) => {
       if (typeof connect === 'function') {
         connect(target, (...result) => {
-          const [, socket] = result;
-          socket?.on('end', () => current?.onConnectionEnd?.());
+          const [, opened] = result;
+          socket = opened;
+          bytesBefore = 0;
+          opened?.on('end', () => current?.onConnectionEnd?.());
+          // The parser passes over some of what it reads without a bound and without notice.
+          opened?.on('readable', () => {
+            const bodyBytes = current?.countBodyBytes?.() ?? Infinity;
+            const extraBytes = opened.bytesRead - bytesBefore - bodyBytes;
+            if (extraBytes > MAX_EXTRA_BYTES + bodyBytes * EXTRA_PER_BODY_BYTE) {
+              current?.onExcess?.(extraBytes);
+            }
+          });
           done(...result);
         });
       }
@@ -133,6 +157,7 @@
   const dispatch = client.dispatch.bind(client);
   client.dispatch = (request, handler) => {
     current = request;
+    bytesBefore = socket?.bytesRead ?? 0;
     return dispatch(request, handler);
   };
   return client;
@@ -154,6 +179,7 @@
   localAddress: string,
   barrier: inputBarrier.InputBarrier,
   paths: ConnectionPaths = OWN_PATHS,
+  buffers: bufferBudget.BufferBudget = bufferBudget.makeBufferBudget(),
 ): ConnectionPools => {
   const pools = new Map<string, undici.Pool>();
   const closing = makeClosingConnection();
@@ -173,6 +199,7 @@
     },
     wasReset: closing.wasReset,
     verifyEnd: closing.verifyEnd,
+    buffers,
     close: async () => {
       await Promise.all(Array.from(pools.values()).map((pool) => pool.destroy()));
       pools.clear();
