fix(core): a version that was rolled back stays withdrawn under the next order

Cause: that a version is withdrawn was known only as the stage of its roll-out, which the next order replaces, in the routers and in the record in the store. Change: an order takes over which versions earlier ones have rolled back, and no request runs on them until they are ordered again; the record has them too. Compatible: the field is optional; the former build ignores it, and drops it when it writes the record.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -220,6 +220,8 @@
     readonly elapsedMs: number;
     /** True if the order may be the known one, written again under another revision after the store lost data. */
     readonly mayBeRewritten?: boolean;
+    /** Versions that earlier roll-outs of the service have rolled back, as far as its record tells. */
+    readonly withdrawn?: readonly string[];
   };
   readonly canaryReportReceived: canaryState.CanaryReport;
   readonly ticked: Readonly<Record<never, never>>;
--- a/packages/core/src/routed/canaryHandlers.ts
+++ b/packages/core/src/routed/canaryHandlers.ts
@@ -49,13 +49,17 @@
   current: routerState.RouterState,
   event: events.EventOf<'canaryObserved'>,
 ): transition.Transition => {
-  const { order, stage, elapsedMs } = event;
+  const { order, stage, elapsedMs, withdrawn = [] } = event;
   const previous = current.routed.canaries.get(order.service);
   const startedAtMs = event.nowMs - elapsedMs;
   const isSame =
     previous !== undefined &&
     (previous.order.revision === order.revision ||
       (event.mayBeRewritten === true && canaryState.isEqualOrder(previous.order, order)));
+  const known =
+    previous === undefined || isSame
+      ? (previous?.withdrawn ?? [])
+      : canaryState.listWithdrawn({ ...previous, to: previous.order.to }, order);
   // An outcome is final, so a late record of the running stage has no effect.
   const next =
     isSame && previous !== undefined
@@ -66,7 +70,13 @@
           startedAtMs: adjustStart(previous.startedAtMs, startedAtMs),
         }
       : canaryState.makeCanary(order, stage, startedAtMs, current.routed.settings.exposure);
-  return transition.makeTransition(withCanary(current, next), {
+  const merged = {
+    ...next,
+    withdrawn: Array.from(new Set([...known, ...withdrawn])).filter(
+      (version) => version !== order.to,
+    ),
+  };
+  return transition.makeTransition(withCanary(current, merged), {
     type: 'log',
     message: 'roll-out observed',
     fields: {
@@ -75,6 +85,7 @@
       stage,
       elapsedMs,
       inFlight: countInFlight(current, order, true),
+      withdrawn: merged.withdrawn,
     },
   });
 };
--- a/packages/core/src/routed/canaryState.ts
+++ b/packages/core/src/routed/canaryState.ts
@@ -42,6 +42,8 @@
   readonly startedAtMs: number;
   /** True once this router or a peer has found the version bad. */
   readonly isBad: boolean;
+  /** Versions that earlier roll-outs of the service have rolled back; no request runs on them. */
+  readonly withdrawn: readonly string[];
   /** Evidence by source, epoch, kind and version. */
   readonly rows: immutable.Map<string, SourcedRow>;
   /** Answers of all routers, or null while this router does not know them. */
@@ -145,6 +147,7 @@
   exposure,
   startedAtMs,
   isBad: false,
+  withdrawn: [],
   rows: immutable.Map(),
   pooled: null,
   previousInFlight: immutable.Map(),
@@ -152,6 +155,21 @@
   outcomeProposedAtMs: -Infinity,
 });
 
+/** Most versions of a service that are remembered as withdrawn. */
+const MAX_WITHDRAWN = 16;
+
+/** Lists the versions that are withdrawn once an order follows a canary, without the version that it orders. */
+export const listWithdrawn = (
+  previous: Pick<Canary, 'stage' | 'isBad' | 'withdrawn'> & { readonly to: string },
+  order: RolloutOrder,
+): readonly string[] => {
+  const isWithdrawn =
+    previous.stage === 'rolledBack' || (previous.isBad && previous.stage === 'running');
+  return Array.from(new Set([...previous.withdrawn, ...(isWithdrawn ? [previous.to] : [])]))
+    .filter((version) => version !== order.to)
+    .slice(-MAX_WITHDRAWN);
+};
+
 /** Returns whether two orders ask for the same, whatever their revisions. */
 export const isEqualOrder = (a: RolloutOrder, b: RolloutOrder): boolean =>
   a.service === b.service && a.to === b.to && a.periodMs === b.periodMs;
--- a/packages/core/src/routed/versionShare.ts
+++ b/packages/core/src/routed/versionShare.ts
@@ -24,6 +24,9 @@
   if (canary === undefined) {
     return true;
   }
+  if (version !== undefined && canary.withdrawn.includes(version)) {
+    return false;
+  }
   const isNew = version === canary.order.to;
   // A resumed stream stays on the version that began it as long as both versions are in use.
   if (routed.version !== null && canary.stage === 'running' && !canary.isBad) {
--- a/packages/router/__tests__/canaryRecords.spec.ts
+++ b/packages/router/__tests__/canaryRecords.spec.ts
@@ -37,3 +37,30 @@
   await shared.delay.wait(10);
   t.is(transactions.length, 0);
 });
+
+// The record of the next order replaced the one that told that a version was rolled back.
+test('the record of an order keeps the versions that earlier ones have rolled back', async (t) => {
+  const transactions: stores.keyValueStore.Transaction[] = [];
+  const store = {
+    commit: async (transaction: stores.keyValueStore.Transaction) => {
+      transactions.push(transaction);
+      return shared.outcome.makeOk({ isCommitted: true, revision: 1 });
+    },
+  } as unknown as stores.prefixStore.PrefixStore;
+  const runtime = routerRuntime.makeRuntime(
+    core.routerState.makeState({
+      routerId: 'a',
+      zone: 'a',
+      address: '127.0.0.1:1',
+      ledgerCapacity: 10,
+    }),
+  );
+  const records = canaryRecords.makeCanaryRecords(runtime, store, pino.pino({ level: 'silent' }));
+  // The former build writes no such field.
+  records.handleRecord(RECORD_KEY, makeRecord('v2', 40, 'rolledBack'), 50);
+  records.handleOrder(ORDER_KEY, JSON.stringify({ service: 'desk', to: 'v3', period_s: 10 }), 60);
+  await shared.delay.wait(10);
+  t.deepEqual(runtime.getState().routed.canaries.get('desk')?.withdrawn, ['v2']);
+  const written = transactions[0]?.puts?.find(({ key }) => key === RECORD_KEY);
+  t.deepEqual(JSON.parse(written?.value ?? '{}').withdrawn, ['v2']);
+});
--- a/packages/router/src/routed/canaryRecords.ts
+++ b/packages/router/src/routed/canaryRecords.ts
@@ -1,4 +1,4 @@
-import type * as core from '@jayrock/core';
+import * as core from '@jayrock/core';
 import * as platform from '@jayrock/platform';
 import type * as shared from '@jayrock/shared';
 import type * as stores from '@jayrock/stores';
@@ -15,6 +15,8 @@
   orderRevision: zod.number(),
   startedAtMs: zod.number(),
   stage: zod.enum(['running', 'completed', 'rolledBack']),
+  /** Versions that earlier roll-outs have rolled back; records of the former build have none. */
+  withdrawn: zod.array(zod.string()).exactOptional(),
 });
 
 type CanaryRecord = zod.infer<typeof recordSchema>;
@@ -51,6 +53,18 @@
   }
 };
 
+/** Lists the versions that the record of a service withdraws for an order. */
+const listWithdrawn = (
+  record: CanaryRecord | undefined,
+  order: core.canaryState.RolloutOrder,
+): readonly string[] =>
+  record === undefined
+    ? []
+    : core.canaryState.listWithdrawn(
+        { ...record, isBad: false, withdrawn: record.withdrawn ?? [] },
+        order,
+      );
+
 /** Follows and writes roll-out records; a write succeeds only if no other router wrote the record meanwhile. */
 export const makeCanaryRecords = (
   runtime: routerRuntime.Runtime,
@@ -90,6 +104,7 @@
       order,
       mayBeRewritten: mayBeRewritten(),
       stage: isSameOrder && stored !== undefined ? stored.stage : 'running',
+      withdrawn: listWithdrawn(stored, order),
       elapsedMs:
         isSameOrder && stored !== undefined ? Math.max(0, Date.now() - stored.startedAtMs) : 0,
     });
@@ -112,6 +127,9 @@
       orderRevision: order.revision,
       startedAtMs: Date.now() - elapsedMs,
       stage,
+      withdrawn: Array.from(
+        new Set([...listWithdrawn(stored?.record, order), ...(isKnown ? canary.withdrawn : [])]),
+      ),
     };
     writeRecord(order, next, stored?.revision ?? 0).catch((error: unknown) =>
       log.error({ error }, 'roll-out record not created'),
