test(measure): addresses of their own for the tests of answers without end

Cause: crashingPart.spec.ts uses the same network. An answer in one piece was written in two calls. Change: another network; the last piece ends the answer.

--- a/packages-private/measure/__tests__/endlessAnswers.spec.ts
+++ b/packages-private/measure/__tests__/endlessAnswers.spec.ts
@@ -58,7 +58,7 @@
   test.serial(
     `little is read of an answer without end (${part}), and another one is given`,
     async (t) => {
-      const site = await routedSite.startRoutedSite(`127.0.24.${index + 1}`);
+      const site = await routedSite.startRoutedSite(`127.0.96.${index + 1}`);
       t.teardown(() => site.close());
       const [endless, sound] = site.upstreams;
       if (endless === undefined || sound === undefined) {
@@ -86,7 +86,7 @@
 });
 
 test.serial('a stream without an end of its event ends, and others go on', async (t) => {
-  const site = await routedSite.startRoutedSite('127.0.24.40');
+  const site = await routedSite.startRoutedSite('127.0.96.40');
   t.teardown(() => site.close());
   const [endless, sound] = site.upstreams;
   if (endless === undefined || sound === undefined) {
--- a/packages/router/src/routed/routedAttempt.ts
+++ b/packages/router/src/routed/routedAttempt.ts
@@ -288,8 +288,8 @@
       pending.response.flushHeaders();
       chunks.forEach(forwardBytes);
     } else {
-      chunks.forEach((chunk) => pending.response.write(chunk));
-      pending.response.end();
+      chunks.slice(0, -1).forEach((chunk) => pending.response.write(chunk));
+      pending.response.end(chunks.at(-1));
     }
   };
   const handleStreamHead = (confidence: number | null): void => {
