fix(core): a version that could not be tried is rolled back, not completed

Cause: at the end of the period the outcome was "completed" unless the evidence spoke against it, and there was none. Change: a version without an upstream, or without any answer although its share would have been five or more, is rolled back; a router that cannot know leaves the outcome to others. A version that is proposed to be rolled back gets no requests meanwhile, and a completed one gets all.

--- a/packages/core/__tests__/canaryState.spec.ts
+++ b/packages/core/__tests__/canaryState.spec.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import * as prand from 'pure-rand';
 import * as core from '../src/index.js';
+import * as routedFixtures from './routedFixtures.js';
 
 const ORDER: core.canaryState.RolloutOrder = {
   service: 'desk',
@@ -291,3 +292,60 @@
   t.is(core.canaryState.evaluateOutcome(canary, 0, 58_000), 'completed');
   t.is(core.canaryState.evaluateOutcome(busy, 2, 59_300), 'completed');
 });
+
+// Without an answer of the new version there was no evidence against it, and the period ended with its completion.
+test('a version that no router has tried is rolled back at the end of its period', (t) => {
+  const addAnswers = (count: number): core.canaryState.Canary =>
+    Array.from({ length: count }).reduce<core.canaryState.Canary>(
+      (canary) =>
+        core.canaryState.recordAnswer(
+          canary,
+          'r1',
+          { kind: 'read|', isNew: false, elapsedMs: 20 },
+          1_000,
+        ),
+      core.canaryState.makeCanary(ORDER, 'running', 0, EXPOSURE),
+    );
+  const untried = addAnswers(100);
+  const lastTickMs = ORDER.periodMs - 100;
+  t.is(core.canaryState.evaluateOutcome(untried, 0, ORDER.periodMs * 0.9), null);
+  t.is(core.canaryState.evaluateOutcome(untried, 0, lastTickMs), 'rolledBack');
+  // With few requests, none on the version says nothing, unless it has no upstream.
+  t.is(core.canaryState.evaluateOutcome(addAnswers(8), 0, lastTickMs), 'completed');
+  t.is(core.canaryState.evaluateOutcome(addAnswers(8), 0, lastTickMs, true, false), 'rolledBack');
+  // A router that does not have the evidence of others cannot know.
+  t.is(core.canaryState.evaluateOutcome(untried, 0, lastTickMs, false), null);
+  const told = core.canaryState.mergeReport(untried, 'r2', [], 0, 2_000, {
+    answers: 40,
+    newAnswers: 4,
+    perSecond: 20,
+  });
+  t.is(core.canaryState.evaluateOutcome(told, 0, lastTickMs, false), 'completed');
+});
+
+test('an untried version gets no requests while the store does not take its outcome', (t) => {
+  const driver = routedFixtures.makeRoutedDriver(['old-1']);
+  const order = { service: 'desk', to: 'v2', periodMs: 6_000, revision: 3 };
+  driver.send({ type: 'canaryObserved', order, stage: 'running', elapsedMs: 0 }, 10_000);
+  for (let nowMs = 10_100; nowMs < 17_000; nowMs += 100) {
+    routedFixtures.sendCall(driver, `r${nowMs}`, {}, 0, nowMs);
+    const attemptId = driver.getState().requests.get(`r${nowMs}`)?.attempts[0]?.id ?? 0;
+    driver.send(
+      {
+        type: 'routedHeadArrived',
+        requestId: `r${nowMs}`,
+        attemptId,
+        head: { status: 200, confidence: null },
+      },
+      nowMs + 10,
+    );
+    driver.send(
+      { type: 'routedAttemptEnded', requestId: `r${nowMs}`, attemptId, events: 0, streamMs: 0 },
+      nowMs + 20,
+    );
+    driver.send({ type: 'ticked' }, nowMs + 30);
+  }
+  const canary = driver.getState().routed.canaries.get('desk');
+  t.is(canary?.stage, 'running');
+  t.is(canary === undefined ? null : core.canaryState.getTrafficShare(canary, 20_000), 0);
+});
--- a/packages/core/src/routed/canaryHandlers.ts
+++ b/packages/core/src/routed/canaryHandlers.ts
@@ -126,6 +126,9 @@
     countPreviousInFlight(current, canary),
     nowMs,
     evidenceRoles.hasAllEvidence(current),
+    current.upstreams.some(
+      ({ host }) => host.service === canary.order.service && host.version === canary.order.to,
+    ),
   );
   if (stage === null || nowMs - canary.outcomeProposedAtMs < OUTCOME_RETRY_MS) {
     return transition.makeTransition(current);
@@ -137,7 +140,12 @@
   };
   const rows = canary.rows.valueSeq().map((sourced) => sourced.row);
   return transition.makeTransition(
-    withCanary(current, { ...canary, outcomeProposedAtMs: nowMs }),
+    withCanary(current, {
+      ...canary,
+      outcomeProposedAtMs: nowMs,
+      // The store may not take the outcome for long; the version gets no requests meanwhile.
+      isBad: canary.isBad || stage === 'rolledBack',
+    }),
     effect,
     {
       type: 'log',
--- a/packages/core/src/routed/canaryState.ts
+++ b/packages/core/src/routed/canaryState.ts
@@ -132,6 +132,8 @@
 const UNPOOLED_COMPLETION_MS = 300;
 /** Epochs over which the current rate of answers is counted. */
 const RATE_EPOCHS = 2;
+/** Answers that a version should have had by its share, from which none shows that it could not be tried. */
+const MIN_EXPECTED_ANSWERS = 5;
 /** Age above which a report of requests in flight on the previous versions is ignored, in milliseconds. */
 const IDLE_REPORT_MS = 2_500;
 
@@ -228,12 +230,13 @@
 
 /** Returns the share of the requests, or of the sessions, that run on the version, from 0 to 1. */
 export const getTrafficShare = (canary: Canary, nowMs: number, isSession = false): number => {
-  if (canary.isBad || canary.stage === 'rolledBack') {
-    return 0;
-  }
+  // The previous versions are stopped once the outcome is known, whatever this router found.
   if (canary.stage === 'completed') {
     return 1;
   }
+  if (canary.isBad || canary.stage === 'rolledBack') {
+    return 0;
+  }
   const canaryShare = isSession ? computeSessionShare(canary, nowMs) : computeCanaryShare(canary);
   const remainingRamp = 1 - computeTailPart(canary) - computeProgress(canary, nowMs);
   const rampProgress = 1 - remainingRamp / (canary.exposure.share * RAMP_PART);
@@ -359,16 +362,31 @@
     (report) => report.count === 0 || nowMs - report.atMs > IDLE_REPORT_MS,
   );
 
+const hasNewAnswers = (canary: Canary, rows: readonly canaryEvidence.EvidenceRow[]): boolean =>
+  rows.some((row) => row.isNew) || (canary.pooled?.newAnswers ?? 0) > 0;
+
+/** Returns whether so many requests ran that some would have run on the version if it could have been tried. */
+const shouldHaveNewAnswers = (
+  canary: Canary,
+  rows: readonly canaryEvidence.EvidenceRow[],
+): boolean => {
+  const counted = canaryEvidence.sumRows(canaryEvidence.listAnswerRows(rows)).answers;
+  const answers = Math.max(counted, canary.pooled?.answers ?? 0);
+  return answers * canary.exposure.share * CANARY_PART >= MIN_EXPECTED_ANSWERS;
+};
+
 /**
  * Returns the outcome with which a running canary should end now, or null while it continues. At the end of the period
- * the version that is more likely bad than not is rolled back: that costs a delay, completing it would cost callers
- * for good.
+ * the version that is more likely bad than not is rolled back, and so is one that could not be tried: that costs a
+ * delay, completing it would cost callers for good. A router that cannot know whether others tried it leaves the
+ * outcome to them.
  */
 export const evaluateOutcome = (
   canary: Canary,
   ownInFlight: number,
   nowMs: number,
   hasAllEvidence = true,
+  hasNewUpstreams = true,
 ): 'completed' | 'rolledBack' | null => {
   if (canary.stage !== 'running') {
     return null;
@@ -387,6 +405,15 @@
   if (!isDue) {
     return null;
   }
-  const rows = canary.rows.valueSeq().map((sourced) => sourced.row);
-  return canaryEvidence.isLikelyBad(rows.toArray()) ? 'rolledBack' : 'completed';
+  const rows = canary.rows
+    .valueSeq()
+    .map((sourced) => sourced.row)
+    .toArray();
+  if (hasNewAnswers(canary, rows)) {
+    return canaryEvidence.isLikelyBad(rows) ? 'rolledBack' : 'completed';
+  }
+  if (!hasAllEvidence && canary.pooled === null) {
+    return null;
+  }
+  return !hasNewUpstreams || shouldHaveNewAnswers(canary, rows) ? 'rolledBack' : 'completed';
 };
