perf(router): one of the calls that a router holds gives the signs of life for all

Cause: each held call of each prefix had signs of its own, ten a second for a router. Change: of the calls that a peer holds for a router, one asks for signs, each 0.4 s; a peer without a sign for 0.8 s is silent for all of them.

--- a/packages/router/__tests__/silentReaders.spec.ts
+++ b/packages/router/__tests__/silentReaders.spec.ts
@@ -192,6 +192,12 @@
     client.callHeld(`${LOCAL}:${port}`, 'getRelayEnd', { relayId: 'r' }, 3_000, silenceMs);
   t.deepEqual(await call(450), { bytes: 7 });
   t.true(client.hasHeartbeat(`${LOCAL}:${port}`));
+  // One of several calls asks for signs of life, for all of them.
+  t.deepEqual(await Promise.all([call(450), call(450), call(450)]), [
+    { bytes: 7 },
+    { bytes: 7 },
+    { bytes: 7 },
+  ]);
   // Routers of the former build ask for no signs of life, and take the same reply.
   t.deepEqual(await client.call(`${LOCAL}:${port}`, 'getRelayEnd', { relayId: 'r' }, 3_000), {
     bytes: 7,
--- a/packages/router/src/peers/heartbeat.ts
+++ b/packages/router/src/peers/heartbeat.ts
@@ -50,49 +50,58 @@
   return reply;
 };
 
-/** Watches the signs of life of a peer that holds a call. */
-export interface SilenceWatch {
-  readonly signal: AbortSignal;
+/** A call that a peer holds. */
+export interface HeldCall {
+  /** True if this call asks for signs of life; one call to a peer does so for all that it holds. */
+  readonly asksForSigns: boolean;
   /** Records that bytes have arrived. */
   readonly recordSign: () => void;
-  readonly stop: () => void;
+  readonly end: () => void;
 }
 
-/**
- * Starts to watch a call, which is aborted when it takes too long as a whole, or when no sign of life arrives for a
- * time; both in milliseconds. Input that had arrived by then is read first.
- */
-export const startSilenceWatch = (timeoutMs: number, silenceMs: number): SilenceWatch => {
-  const controller = new AbortController();
-  const endsAtMs = performance.now() + timeoutMs;
+/** The calls that one peer holds. */
+export interface HeldCalls {
+  /** Adds a call, which is aborted with the others when no sign of life arrives for a time. */
+  readonly open: (abort: () => void) => HeldCall;
+}
+
+/** Watches the calls that a peer holds; it is silent after a time without a sign of life, in milliseconds. */
+export const makeHeldCalls = (silenceMs: number): HeldCalls => {
+  const aborts = new Set<() => void>();
+  let asking: (() => void) | null = null;
   let timer: NodeJS.Timeout | null = null;
   let signs = 0;
-  const arm = (): void => {
+  const restart = (): void => {
+    signs += 1;
     const seen = signs;
-    const waitMs = Math.max(0, Math.min(silenceMs, endsAtMs - performance.now()));
-    timer = setTimeout(
-      () =>
-        setImmediate(() => {
-          if (signs === seen || performance.now() >= endsAtMs) {
-            controller.abort(new Error('the peer is silent'));
-          }
-        }),
-      waitMs,
-    ).unref();
-  };
-  const stop = (): void => {
     if (timer !== null) {
       clearTimeout(timer);
     }
+    // Input that had arrived by then is read first. Without a call that asks for signs, there are none to miss.
+    const abortIfSilent = (): void => {
+      if (signs === seen && asking !== null) {
+        Array.from(aborts).forEach((abort) => abort());
+      }
+    };
+    timer = setTimeout(() => setImmediate(abortIfSilent), silenceMs).unref();
   };
-  arm();
   return {
-    signal: controller.signal,
-    recordSign: () => {
-      signs += 1;
-      stop();
-      arm();
+    open: (abort) => {
+      aborts.add(abort);
+      const asksForSigns = asking === null;
+      asking ??= abort;
+      restart();
+      return {
+        asksForSigns,
+        recordSign: restart,
+        end: () => {
+          aborts.delete(abort);
+          asking = asking === abort ? null : asking;
+          if (aborts.size === 0 && timer !== null) {
+            clearTimeout(timer);
+          }
+        },
+      };
     },
-    stop,
   };
 };
--- a/packages/router/src/peers/rpcClient.ts
+++ b/packages/router/src/peers/rpcClient.ts
@@ -15,7 +15,7 @@
 const KEEP_ALIVE_MS = 4_000;
 
 /** Signs of life that are due in the time after which a peer counts as silent. */
-const SIGNS_PER_SILENCE = 3;
+const SIGNS_PER_SILENCE = 2;
 
 /** JSON-RPC client for calls to other routers. */
 export interface RpcClient {
@@ -63,6 +63,8 @@
   });
   /** Addresses of peers that give signs of life while they hold a call. */
   const withHeartbeat = new Set<string>();
+  /** Calls that peers hold, by address. */
+  const heldCalls = new Map<string, heartbeat.HeldCalls>();
   let bytes = 0;
   const post = (
     address: string,
@@ -88,20 +90,28 @@
   const sendHeld =
     (silenceMs: number): Send =>
     async (address, body, timeoutMs) => {
-      const watch = heartbeat.startSilenceWatch(timeoutMs, silenceMs);
+      const controller = new AbortController();
+      const peer = heldCalls.get(address) ?? heartbeat.makeHeldCalls(silenceMs);
+      heldCalls.set(address, peer);
+      const held = peer.open(() => controller.abort(new Error('the peer is silent')));
+      const timer = setTimeout(() => setImmediate(() => controller.abort()), timeoutMs).unref();
+      const interval = String(Math.round(silenceMs / SIGNS_PER_SILENCE));
       try {
-        const response = await post(address, body, watch.signal, {
-          [heartbeat.HEARTBEAT_HEADER]: String(Math.round(silenceMs / SIGNS_PER_SILENCE)),
-        });
-        watch.recordSign();
-        if (response.headers[heartbeat.HEARTBEAT_HEADER] === undefined) {
-          withHeartbeat.delete(address);
-        } else {
+        const response = await post(
+          address,
+          body,
+          controller.signal,
+          held.asksForSigns ? { [heartbeat.HEARTBEAT_HEADER]: interval } : {},
+        );
+        held.recordSign();
+        if (response.headers[heartbeat.HEARTBEAT_HEADER] !== undefined) {
           withHeartbeat.add(address);
+        } else if (held.asksForSigns) {
+          withHeartbeat.delete(address);
         }
         const chunks: Buffer[] = [];
         for await (const chunk of response.body) {
-          watch.recordSign();
+          held.recordSign();
           chunks.push(chunk as Buffer);
         }
         return Buffer.concat(chunks).toString('utf8');
@@ -110,7 +120,8 @@
         withHeartbeat.delete(address);
         throw error;
       } finally {
-        watch.stop();
+        clearTimeout(timer);
+        held.end();
       }
     };
   const request = async (
--- a/packages/router/src/routed/sharedStore.ts
+++ b/packages/router/src/routed/sharedStore.ts
@@ -13,7 +13,7 @@
 /** Time within which a change has to be known to a router whose reader gives no answer, in milliseconds. */
 const NEWS_MS = 2_000;
 /** Time without a sign of life after which a reader that holds a call counts as silent, in milliseconds. */
-const SILENCE_MS = 0.45 * NEWS_MS;
+const SILENCE_MS = 0.4 * NEWS_MS;
 /** Longest wait at a reader that gives no signs of life, in milliseconds; routers of the former build give none. */
 const UNWATCHED_HOLD_MS = 0.2 * NEWS_MS;
 /** Timeout of a call to a reader after another one was silent, in milliseconds. */
