fix(core): a request whose key is withdrawn before it is sent is refused as unauthorized

Callers saw: 503 "overloaded" with a time to come back, for a request that was read just before a table without its key was adopted, and that was to be sent just after it. Cause: the failed send was ended like any other of which nothing ran. Change: if nothing was sent, the refusal is the one that a request of the next moment gets. Test: overdueSend.spec.ts expected the code "overloaded", which was untrue; it expects "unauthorized" now, and besides that the refusal says not run.

--- a/packages/core/src/routed/routedRetry.ts
+++ b/packages/core/src/routed/routedRetry.ts
@@ -204,7 +204,9 @@
     return transition.makeTransition(current);
   }
   if (!overdueSend.isKeyHeld(current, request)) {
-    return routedRefusal.endUnanswered(current, request, FAILURE_CODES[event.failure], event);
+    return routedRefusal.countPossibleExecutions(request) === 0
+      ? refusal.refuseRequest(current, request, 'unauthorized', null)
+      : refusal.refuseRequest(current, request, FAILURE_CODES[event.failure], null);
   }
   const canRepeat = request.isRepeatable || routedRefusal.countPossibleExecutions(request) === 0;
   return canRepeat && canSendAgain(current, request, routed, event.nowMs)
