--- a/packages-private/measure/__tests__/routedSite.ts
+++ b/packages-private/measure/__tests__/routedSite.ts
@@ -155,6 +155,7 @@
   ip: string,
   storeAddress: string,
   bounds: object = {},
+  zone = 'a',
 ): Promise<SiteRouter> => {
   const settings = shared.settings.settingsSchema.parse(
     routerSettings.makeRouterSettings(
@@ -164,7 +165,7 @@
         storeAddress,
         bounds: { graceMs: 6_000, repeatShare: 2, repeatSlack: 100, ...bounds },
       },
-      { logLevel: 'silent' },
+      { logLevel: 'silent', zone },
     ),
   );
   if (settings.platform.kind !== 'managed') {
--- a/packages-private/stand-ins/src/platformStore.ts
+++ b/packages-private/stand-ins/src/platformStore.ts
@@ -1,3 +1,4 @@
+import type * as net from 'node:net';
 import * as platform from '@jayrock/platform';
 import * as fastify from 'fastify';
 import * as control from './control.js';
@@ -28,6 +29,12 @@
   isBusy: boolean;
   /** Holds every call unanswered while set. */
   isSilent: boolean;
+  /** Source addresses that get no answer; a connection on which an answer was lost stays silent. */
+  silentSources: ReadonlySet<string>;
+  /** Source addresses whose calls, open watches among them, are answered with 503 without being executed. */
+  refusedSources: ReadonlySet<string>;
+  /** Delays of the answers to source addresses, in milliseconds. */
+  delaysBySource: ReadonlyMap<string, number>;
 }
 
 /** A stand-in of the platform's store with watches, leases and transactions. */
@@ -39,6 +46,10 @@
   readonly get: (key: string) => string | null;
   /** Compacts the history: a watch from an older revision fails with 410 and has to read again. */
   readonly compact: () => void;
+  /** Lists the keys with a prefix. */
+  readonly listKeys: (prefix: string) => readonly string[];
+  /** Makes the connections that are open now silent: nothing more is executed or answered on them. */
+  readonly silenceConnections: () => void;
   /** Returns the number of keys with a prefix. */
   readonly countKeys: (prefix: string) => number;
   /** Takes a copy of the items, to which `restore` goes back. */
@@ -53,7 +64,16 @@
 
 /** Starts a stand-in of the platform's store. */
 export const startPlatformStore = async (): Promise<PlatformStore> => {
-  const faults: StoreFaults = { ...control.makeFaults(), isBusy: false, isSilent: false };
+  const faults: StoreFaults = {
+    ...control.makeFaults(),
+    isBusy: false,
+    isSilent: false,
+    silentSources: new Set(),
+    refusedSources: new Set(),
+    delaysBySource: new Map(),
+  };
+  const sockets = new Set<net.Socket>();
+  const silentSockets = new WeakSet<net.Socket>();
   const items = new Map<string, Item>();
   let events: StoreEvent[] = [];
   let revision = 1;
@@ -72,13 +92,39 @@
       events.push({ key, rev: revision, tombstone: true });
     }
   };
+  const listKeys = (prefix: string): readonly string[] =>
+    Array.from(items.keys()).filter((key) => key.startsWith(prefix));
   const server = fastify.fastify({ forceCloseConnections: true });
+  server.server.on('connection', (socket) => {
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
+  });
+  const isLost = (socket: net.Socket): boolean => {
+    if (faults.silentSources.has(socket.remoteAddress ?? '')) {
+      silentSockets.add(socket);
+    }
+    return silentSockets.has(socket);
+  };
+  const isRefused = ({ remoteAddress }: net.Socket): boolean =>
+    faults.refusedSources.has(remoteAddress ?? '');
   control.addBlockHook(server, faults);
-  server.addHook('onSend', async (_, reply) => {
+  server.addHook('onSend', async ({ raw: { socket } }, reply) => {
     reply.header(platform.wire.HEADERS.era, String(era));
+    await control.wait(faults.delaysBySource.get(socket.remoteAddress ?? '') ?? 0);
+    if (isLost(socket)) {
+      await control.waitUntil(() => socket.destroyed);
+    }
   });
   server.addHook('preHandler', async (request, reply) => {
     calls += 1;
+    const { socket } = request.raw;
+    if (isLost(socket)) {
+      reply.hijack();
+      return;
+    }
+    if (isRefused(socket)) {
+      await reply.code(503).send({});
+    }
     if (faults.isSilent) {
       await control.waitUntil(() => !faults.isSilent);
     }
@@ -116,6 +162,9 @@
         request.raw.socket.destroy();
         return reply;
       }
+      if (isRefused(request.raw.socket)) {
+        return reply.code(503).send({});
+      }
       if (after < oldestRevision || after > revision) {
         return reply.code(410).send({});
       }
@@ -174,7 +223,9 @@
       oldestRevision = revision;
       events = [];
     },
-    countKeys: (prefix) => Array.from(items.keys()).filter((key) => key.startsWith(prefix)).length,
+    listKeys,
+    silenceConnections: () => sockets.forEach((socket) => silentSockets.add(socket)),
+    countKeys: (prefix) => listKeys(prefix).length,
     saveCopy: () => {
       copy = { items: Array.from(items.values()).filter(({ lease }) => lease === 0), revision };
     },
--- a/packages/core/src/membership/storeReaders.ts
+++ b/packages/core/src/membership/storeReaders.ts
@@ -43,8 +43,9 @@
     .map(({ address }) => address);
 
 /**
- * Lists the addresses of the routers through which this router reads the store, the preferred one first; empty if it
- * reads the store itself. Members' tables may differ for a short time, so what a reader passes on bears its age.
+ * Lists the addresses of the routers through which this router can read the store, the preferred one first; empty if it
+ * reads the store itself. Those of its zone come before those that they read through. Members' tables may differ for a
+ * short time, so what a reader passes on bears its age.
  */
 export const listReaders = (table: memberTable.MemberTable): readonly string[] => {
   if (memberTable.listActiveMembers(table).length + 1 < MIN_ROUTERS) {
@@ -56,5 +57,10 @@
     return [];
   }
   const ofZone = zoneRoles.listRoleHolders(table, 'storeReader', table.self.zone, READERS_PER_ZONE);
-  return shuffleReaders(selfId, ofZone.some(({ id }) => id === selfId) ? roots : ofZone);
+  const others = shuffleReaders(selfId, roots);
+  if (ofZone.some(({ id }) => id === selfId)) {
+    return others;
+  }
+  const first = shuffleReaders(selfId, ofZone);
+  return [...first, ...others.filter((address) => !first.includes(address))];
 };
--- a/packages/router/__tests__/routedAttempt.spec.ts
+++ b/packages/router/__tests__/routedAttempt.spec.ts
@@ -87,6 +87,7 @@
   detectOverdue: () => string | null = () => null,
   isStream = false,
   headTimeoutMs = Infinity,
+  confirmUpstreams: () => Promise<void> | null = () => null,
 ): {
   readonly running: pendingRoutedRequest.RunningAttempt;
   readonly failures: routedAttempt.RoutedAttemptFailure[];
@@ -117,6 +118,7 @@
       handleEnd: (stream) => ends.push(stream),
       handleFailure: (failure) => failures.push(failure),
       handleSilence: () => undefined,
+      confirmUpstreams,
       detectOverdue,
       handleSent: () => undefined,
       handleActivity: () => undefined,
@@ -183,3 +185,31 @@
     [{ failure: 'silent', isUnsent: false }],
   );
 });
+
+test('an attempt is sent once its source was asked, if the list of upstreams is too old', async (t) => {
+  const { pools, open } = makePools();
+  let confirm: () => void = () => undefined;
+  let state: string | null = null;
+  const { failures } = startAttempt(
+    pools,
+    () => state,
+    false,
+    Infinity,
+    () =>
+      new Promise<void>((resolve) => {
+        confirm = resolve;
+      }),
+  );
+  t.is(open(), null);
+  // What the source says is in force before the request is sent.
+  state = 'upstreamLeft';
+  confirm();
+  await new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+  t.is(open(), null);
+  t.deepEqual(
+    failures.map(({ failure, isUnsent, reason }) => ({ failure, isUnsent, reason })),
+    [{ failure: 'overdue', isUnsent: true, reason: 'upstreamLeft' }],
+  );
+});
--- a/packages/router/__tests__/sharedStore.spec.ts
+++ b/packages/router/__tests__/sharedStore.spec.ts
@@ -13,6 +13,8 @@
 >;
 
 const PREFIX = 'operator/';
+/** Time within which news has to be in force, in milliseconds. */
+const NEWS_MS = 2_000;
 
 /** Makes the shared reads of a lone router whose store answers waits as the test says. */
 const makeReads = (wait: () => Waited): sharedStore.SharedStore => {
@@ -29,7 +31,12 @@
     waitForChanges: async () => wait(),
   } as unknown as stores.prefixStore.PrefixStore;
   return sharedStore.makeSharedStore(
-    { runtime, client: {} as rpcClient.RpcClient, log: pino.pino({ level: 'silent' }) },
+    {
+      runtime,
+      client: {} as rpcClient.RpcClient,
+      log: pino.pino({ level: 'silent' }),
+      getNewsMs: () => NEWS_MS,
+    },
     direct,
   );
 };
@@ -60,3 +67,31 @@
   t.true(reply?.isFailing);
   t.true(reply !== null && reply.heldMs < 1_000);
 });
+
+test('a router that follows one prefix is told of its keys only', async (t) => {
+  const reads = makeReads(() =>
+    shared.outcome.makeOk({
+      era: 1,
+      revision: 7,
+      changes: [
+        { key: 'hosts/u', value: 'leaving', revision: 6 },
+        { key: 'operator/table', value: 'new', revision: 7 },
+      ],
+    }),
+  );
+  await reads.store.readPrefix(sharedStore.ALL_KEYS);
+  await reads.store.waitForChanges(sharedStore.ALL_KEYS, 5, NEWS_MS);
+  const params = { after: 5, waitMs: NEWS_MS, ageMs: 0 };
+  const told = await reads.serveWait({ prefix: 'hosts/', ...params });
+  t.deepEqual(
+    told?.changes?.changes.map(({ key }) => key),
+    ['hosts/u'],
+  );
+  t.is(told?.changes?.revision, 7);
+  const all = await reads.serveWait({ prefix: sharedStore.ALL_KEYS, ...params });
+  t.is(all?.changes?.changes.length, 2);
+  t.deepEqual(
+    reads.serveRead({ prefix: PREFIX })?.snapshot.entries.map(({ value }) => value),
+    ['new'],
+  );
+});
--- a/packages/router/__tests__/silentReaders.spec.ts
+++ b/packages/router/__tests__/silentReaders.spec.ts
@@ -6,9 +6,7 @@
 import * as shared from '@jayrock/shared';
 import type * as stores from '@jayrock/stores';
 import * as pino from 'pino';
-import * as heartbeat from '../src/peers/heartbeat.js';
 import * as rpcClient from '../src/peers/rpcClient.js';
-import * as rpcServer from '../src/peers/rpcServer.js';
 import * as routerRuntime from '../src/routerRuntime.js';
 import * as sharedStore from '../src/routed/sharedStore.js';
 
@@ -19,42 +17,62 @@
 const NEWS_MS = 2_000;
 /** Number of routers from which on a few of them read the store for the others. */
 const FLEET = 12;
-const HOLD_MS = 4_000;
-
-/** Answers one call of a follower. */
-type Reader = (response: http.ServerResponse, id: number, waitMs: number) => void;
-
-const render = (id: number): string =>
-  JSON.stringify({
-    jsonrpc: '2.0',
-    id,
-    result: {
-      changes: { era: 1, revision: 5, changes: [] },
-      isLarge: false,
-      heldMs: 0,
-      ageMs: 0,
-      isFailing: false,
-    },
-  });
+
+type Method = 'readPrefix' | 'waitForPrefix';
+
+interface Call {
+  readonly id: number;
+  readonly method: Method;
+  readonly params: { readonly waitMs: number };
+}
+
+/** Answers one call of a follower, which began `sinceMs` milliseconds after the reader has got its behaviour. */
+type Reader = (response: http.ServerResponse, call: Call, sinceMs: number) => void;
+
+const answer = (
+  response: http.ServerResponse,
+  { id, method }: Call,
+  state: { readonly ageMs: number; readonly isFailing: boolean },
+): void => {
+  const known = { era: 1, revision: 5 };
+  const results = {
+    readPrefix: { snapshot: { ...known, entries: [] }, isLarge: false, ...state },
+    waitForPrefix: { changes: { ...known, changes: [] }, isLarge: false, heldMs: 0, ...state },
+  };
+  response.end(JSON.stringify({ jsonrpc: '2.0', id, result: results[method] }));
+};
+
+/** A reader to which the store confirms what it knows. */
+const answerSound: Reader = (response, call) => {
+  setTimeout(
+    () => answer(response, call, { ageMs: 0, isFailing: false }),
+    call.method === 'waitForPrefix' ? call.params.waitMs / 2 : 0,
+  );
+};
 
 /** A router that froze before the call. */
 const holdFrozen: Reader = () => undefined;
 
 /** A router that freezes in the middle of a held call. */
 const holdFreezing: Reader = (response) => {
-  response.writeHead(200, { [heartbeat.HEARTBEAT_HEADER]: '300' });
+  response.writeHead(200);
   response.write(' ');
 };
 
-/** A router of the former build, which gives no signs of life. */
-const answerAsFormer: Reader = (response, id, waitMs) => {
-  setTimeout(() => response.end(render(id)), waitMs);
+/** A reader that lives, and that the store no longer answers. */
+const answerDeaf: Reader = (response, call, sinceMs) => {
+  const { waitMs } = call.params;
+  setTimeout(() => answer(response, call, { ageMs: sinceMs + waitMs, isFailing: false }), waitMs);
 };
 
-interface Call {
-  readonly id: number;
-  readonly params: { readonly waitMs: number };
-}
+/** The same, once it has noticed. */
+const answerFailing: Reader = (response, call, sinceMs) =>
+  answer(response, call, { ageMs: sinceMs, isFailing: true });
+
+/** A router of the former build, which follows single prefixes only. */
+const answerAsFormer: Reader = (response, { id }) => {
+  response.end(JSON.stringify({ jsonrpc: '2.0', id, result: null }));
+};
 
 const readText = async (request: http.IncomingMessage): Promise<string> => {
   const chunks: Buffer[] = [];
@@ -83,14 +101,15 @@
 }
 
 /** Makes a router in a fleet, which does not read the store itself. */
-const makeFollower = async (t: ava.ExecutionContext, first: Reader): Promise<Follower> => {
-  let reader = first;
+const makeFollower = async (t: ava.ExecutionContext): Promise<Follower> => {
+  let reader = answerSound;
+  let changedAtMs = performance.now();
   const serve = async (
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> => {
-    const { id, params } = JSON.parse(await readText(request)) as Call;
-    reader(response, id, params.waitMs);
+    const call = JSON.parse(await readText(request)) as Call;
+    reader(response, call, performance.now() - changedAtMs);
   };
   const addresses = await Promise.all(
     Array.from({ length: FLEET }, () =>
@@ -134,6 +153,7 @@
       runtime: { ...runtime, getState: () => ({ ...runtime.getState(), members: joined }) },
       client,
       log: pino.pino({ level: 'silent' }),
+      getNewsMs: () => NEWS_MS,
     },
     direct,
   );
@@ -141,6 +161,7 @@
     reads,
     setReaders: (next) => {
       reader = next;
+      changedAtMs = performance.now();
     },
     countDirectCalls: () => calls,
   };
@@ -151,55 +172,51 @@
   const startedAtMs = performance.now();
   for (;;) {
     // eslint-disable-next-line no-await-in-loop -- each wait follows the one before
-    const outcome = await reads.store.waitForChanges(PREFIX, 5, HOLD_MS);
+    const outcome = await reads.store.waitForChanges(PREFIX, 5, NEWS_MS);
     if (outcome.ok && outcome.value.changes.length > 0) {
       return performance.now() - startedAtMs;
     }
   }
 };
 
-// A router waited for each silent reader for as long as it may hold the call, and a second more.
-Object.entries({ frozen: holdFrozen, freezing: holdFreezing }).forEach(([name, reader]) => {
-  test(`a change is known in time while all readers are silent (${name})`, async (t) => {
-    const follower = await makeFollower(t, reader);
+/** Follows the readers for a time, in milliseconds. */
+const watchReaders = async ({ reads }: Follower, durationMs: number): Promise<void> => {
+  const startedAtMs = performance.now();
+  while (performance.now() - startedAtMs < durationMs) {
+    // eslint-disable-next-line no-await-in-loop -- each wait follows the one before
+    await reads.store.waitForChanges(PREFIX, 5, NEWS_MS);
+  }
+};
+
+// A router waited for what its readers say, whatever the age of what they know.
+Object.entries({
+  frozen: holdFrozen,
+  freezing: holdFreezing,
+  'living, and not answered by the store': answerDeaf,
+  'failing and telling so': answerFailing,
+  'of the former build': answerAsFormer,
+}).forEach(([name, reader]) => {
+  test(`a change is known in time while all readers are useless (${name})`, async (t) => {
+    const follower = await makeFollower(t);
+    t.true((await follower.reads.store.readPrefix(PREFIX)).ok);
+    await watchReaders(follower, NEWS_MS);
+    t.is(follower.countDirectCalls(), 0);
+    follower.setReaders(reader);
     const elapsedMs = await waitForNews(follower);
     t.true(elapsedMs < NEWS_MS, `${Math.round(elapsedMs)} ms`);
   });
 });
 
-test('a change is known in time after a reader of the former build freezes', async (t) => {
-  const follower = await makeFollower(t, answerAsFormer);
-  const known = await follower.reads.store.waitForChanges(PREFIX, 5, HOLD_MS);
-  t.true(known.ok);
-  t.is(follower.countDirectCalls(), 0);
+test('a change is known in time by a router that has not read anything while all readers are frozen', async (t) => {
+  const follower = await makeFollower(t);
   follower.setReaders(holdFrozen);
   const elapsedMs = await waitForNews(follower);
   t.true(elapsedMs < NEWS_MS, `${Math.round(elapsedMs)} ms`);
 });
 
-test('a reader that holds a call for long, and gives signs of life, is waited for', async (t) => {
-  const server = rpcServer.makeRpcServer(SECRET, {
-    getRelayEnd: async () => {
-      await shared.delay.wait(1_200);
-      return { bytes: 7 };
-    },
-  });
-  await server.listen({ host: LOCAL, port: 0 });
-  const client = rpcClient.makeRpcClient(SECRET, LOCAL);
-  t.teardown(() => Promise.all([client.close(), server.close()]));
-  const { port } = server.server.address() as net.AddressInfo;
-  const call = (silenceMs: number): Promise<unknown> =>
-    client.callHeld(`${LOCAL}:${port}`, 'getRelayEnd', { relayId: 'r' }, 3_000, silenceMs);
-  t.deepEqual(await call(450), { bytes: 7 });
-  t.true(client.hasHeartbeat(`${LOCAL}:${port}`));
-  // One of several calls asks for signs of life, for all of them.
-  t.deepEqual(await Promise.all([call(450), call(450), call(450)]), [
-    { bytes: 7 },
-    { bytes: 7 },
-    { bytes: 7 },
-  ]);
-  // Routers of the former build ask for no signs of life, and take the same reply.
-  t.deepEqual(await client.call(`${LOCAL}:${port}`, 'getRelayEnd', { relayId: 'r' }, 3_000), {
-    bytes: 7,
-  });
+test('a reader to which the store confirms what it knows is waited for, however long nothing changes', async (t) => {
+  const follower = await makeFollower(t);
+  t.true((await follower.reads.store.readPrefix(PREFIX)).ok);
+  await watchReaders(follower, 3 * NEWS_MS);
+  t.is(follower.countDirectCalls(), 0);
 });
--- a/packages/router/src/peers/rpcServer.ts
+++ b/packages/router/src/peers/rpcServer.ts
@@ -1,6 +1,5 @@
 import * as fastify from 'fastify';
 import * as jsonRpc from 'json-rpc-2.0';
-import * as heartbeat from './heartbeat.js';
 import type * as messages from './messages.js';
 import * as signature from './signature.js';
 
@@ -30,11 +29,8 @@
     if (!signature.verifyMessage(body, signed, secret, Date.now())) {
       return reply.code(401).send({ error: 'the signature is missing or wrong' });
     }
-    return heartbeat.sendReply(
-      request,
-      reply,
-      Promise.resolve(rpc.receiveJSON(body)).then((answer) => JSON.stringify(answer)),
-    );
+    const answer = await rpc.receiveJSON(body);
+    return reply.type('application/json').send(JSON.stringify(answer));
   });
   return server;
 };
--- a/packages/router/src/routed/hostFeed.ts
+++ b/packages/router/src/routed/hostFeed.ts
@@ -5,25 +5,27 @@
 import type * as routerRuntime from '../routerRuntime.js';
 import * as prefixFeed from './prefixFeed.js';
 
-/**
- * Timeout of a long poll, in milliseconds. A poll whose connection was cut without notice ends after this time plus
- * a margin; the sum stays below the 5 s within which a reconnected router must know which upstreams are leaving.
- */
-const WAIT_MS = 4_000;
-/** Delay that batches changes, in milliseconds: an entry changes with each order its upstream accepts, many at once. */
-const BATCH_DELAY_MS = 200;
+/** The entries of upstreams. */
+export interface HostFeed {
+  /** Applies all entries, as read at the start or after a gap. */
+  readonly handleSnapshot: (
+    entries: readonly stores.keyValueStore.KeyValueEntry[],
+    restoration: prefixFeed.Restoration | null,
+  ) => void;
+  readonly handleChange: (change: stores.prefixStore.PrefixChange) => void;
+  readonly stop: () => void;
+}
 
 /** Follows the entries that upstreams register in the store and reports changed and removed hosts. */
-export const startHostFeed = (
+export const makeHostFeed = (
   runtime: routerRuntime.Runtime,
-  store: stores.prefixStore.PrefixStore,
+  getTimeSinceFailureMs: () => number,
   log: pino.Logger,
-): prefixFeed.PrefixFeed => {
+): HostFeed => {
   const lastReported = new Map<string, string>();
   /** Start times of processes that were leaving or removed, by key. */
   const goneSince = new Map<string, number | undefined>();
   const removalTimers = new Map<string, NodeJS.Timeout>();
-  let getTimeSinceFailureMs = (): number => Infinity;
   /** Returns whether an entry shows a process as live that is known to be leaving or gone. */
   const isOutdated = (key: string, host: shared.hosts.Host): boolean =>
     host.state === 'live' && goneSince.has(key) && goneSince.get(key) === host.bornAtMs;
@@ -72,30 +74,19 @@
       );
     }
   };
-  const feed = prefixFeed.startPrefixFeed(
-    store,
-    {
-      prefix: platform.wire.KEYS.upstreams,
-      waitMs: WAIT_MS,
-      batchDelayMs: BATCH_DELAY_MS,
-      clock: null,
-    },
-    {
-      handleSnapshot: (entries, restoration) => {
-        const listed = new Set(entries.map((entry) => entry.key));
-        Array.from(lastReported.keys())
-          .filter((key) => !listed.has(key))
-          .forEach(scheduleRemoval);
-        const copiedRevision = restoration?.revision ?? -1;
-        entries.forEach(({ key, value, revision }) =>
-          applyEntry(key, value, revision <= copiedRevision),
-        );
-      },
-      handleChange: (change) =>
-        change.value === null ? scheduleRemoval(change.key) : applyEntry(change.key, change.value),
+  return {
+    handleSnapshot: (entries, restoration) => {
+      const listed = new Set(entries.map((entry) => entry.key));
+      Array.from(lastReported.keys())
+        .filter((key) => !listed.has(key))
+        .forEach(scheduleRemoval);
+      const copiedRevision = restoration?.revision ?? -1;
+      entries.forEach(({ key, value, revision }) =>
+        applyEntry(key, value, revision <= copiedRevision),
+      );
     },
-    log,
-  );
-  getTimeSinceFailureMs = feed.getTimeSinceFailureMs;
-  return feed;
+    handleChange: ({ key, value }) =>
+      value === null ? scheduleRemoval(key) : applyEntry(key, value),
+    stop: () => removalTimers.forEach((timer) => clearTimeout(timer)),
+  };
 };
--- a/packages/router/src/routed/prefixFeed.ts
+++ b/packages/router/src/routed/prefixFeed.ts
@@ -13,11 +13,11 @@
 
 /** Receives the keys under a prefix and their changes. */
 export interface PrefixFeedListener {
-  /** Called with all keys at the start and whenever changes may have been missed. */
+  /** Called with all keys at the start and whenever changes may have been missed; later changes wait for its end. */
   readonly handleSnapshot: (
     entries: readonly stores.keyValueStore.KeyValueEntry[],
     restoration: Restoration | null,
-  ) => void;
+  ) => Promise<void>;
   readonly handleChange: (change: stores.prefixStore.PrefixChange) => void;
 }
 
@@ -29,7 +29,10 @@
   readonly firstFailure: Promise<void>;
   /** Time since the store last failed to answer or lost data, in milliseconds; Infinity if it never did. */
   readonly getTimeSinceFailureMs: () => number;
-  /** Reads the prefix now; concurrent calls share one read. Resolves to false if the store does not answer. */
+  /**
+   * Confirms what is known, or learns what has changed, now; concurrent calls share one. Resolves to false if the store
+   * does not answer.
+   */
   readonly refresh: () => Promise<boolean>;
   readonly stop: () => void;
 }
@@ -37,12 +40,10 @@
 /** Options of a prefix feed. */
 export interface PrefixFeedOptions {
   readonly prefix: string;
-  /** Timeout of a long poll, in milliseconds; a poll without changes confirms the known state. */
-  readonly waitMs: number;
-  /** Delay after changes, in milliseconds, so that the next poll returns further ones in one batch. */
-  readonly batchDelayMs: number;
-  /** Records confirmations; null if their age does not matter. */
-  readonly clock: freshnessClock.FreshnessClock | null;
+  /** Returns the longest time of a poll, in milliseconds; one without changes confirms the known state. */
+  readonly getWaitMs: () => number;
+  /** Records confirmations. */
+  readonly clock: freshnessClock.FreshnessClock;
 }
 
 /** Where a feed stands in the store's history. */
@@ -52,10 +53,10 @@
 }
 
 /**
- * Timeout of the first poll after a failed one, in milliseconds. Its answer shows at once whether the store has gone
- * back to an older copy, in which the position may name a later change.
+ * Time of a poll that is answered at once, in milliseconds. After a failed one, it shows whether the store has gone back
+ * to an older copy, in which the position may name a later change.
  */
-const RESUME_WAIT_MS = 1;
+const SHORT_WAIT_MS = 1;
 /** Time after an outage or the start of a new era in which others write again what the store has lost, in milliseconds. */
 export const REWRITE_MS = 1_900;
 /** Bounds of the exponential backoff after failed calls, in milliseconds, before jitter. */
@@ -69,12 +70,14 @@
   listener: PrefixFeedListener,
   log: pino.Logger,
 ): PrefixFeed => {
-  const { prefix, waitMs, batchDelayMs, clock } = options;
+  const { prefix, getWaitMs, clock } = options;
   let isStopped = false;
   let failures = 0;
   let failedAtMs = -Infinity;
   let position: Position | null = null;
   let era: stores.prefixStore.StoreEra = null;
+  /** Revision up to which all changes of the era are known. */
+  let seenRevision = -1;
   let resolveFirstRead: () => void = () => undefined;
   const firstRead = new Promise<void>((resolve) => {
     resolveFirstRead = resolve;
@@ -86,9 +89,9 @@
   let restoredAtMs = -Infinity;
   let restoredRevision: number | null = null;
   /** Confirms the state as of a reading, unless the store may still lack what it has lost by going back to a copy. */
-  const confirm = (reading: freshnessClock.ClockReading | undefined, laterMs = 0): void => {
-    if (reading !== undefined && reading.monotonicMs + laterMs >= restoredAtMs + REWRITE_MS) {
-      clock?.confirm(reading, laterMs);
+  const confirm = (reading: freshnessClock.ClockReading, laterMs = 0): void => {
+    if (reading.monotonicMs + laterMs >= restoredAtMs + REWRITE_MS) {
+      clock.confirm(reading, laterMs);
     }
   };
   const recordSuccess = (): void => {
@@ -107,8 +110,16 @@
     const backoffMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** (failures - 1));
     await shared.delay.wait(backoffMs * (0.5 + Math.random()));
   };
+  /** Applies a change; one that cannot be applied does not keep others from being followed. */
+  const applyChange = (change: stores.prefixStore.PrefixChange): void => {
+    try {
+      listener.handleChange(change);
+    } catch (error) {
+      log.error({ error, key: change.key }, 'change not applied');
+    }
+  };
   const readOnce = async (): Promise<stores.keyValueStore.KeyValueError | null> => {
-    const reading = clock?.takeReading();
+    const reading = clock.takeReading();
     const snapshot = await store.readPrefix(prefix);
     if (isStopped) {
       return null;
@@ -116,8 +127,9 @@
     if (!snapshot.ok) {
       return snapshot.error;
     }
-    if (era !== null && snapshot.value.era !== null && snapshot.value.era < era) {
-      // A read that began before the store went back, overtaken by a later one.
+    const isOfEarlierEra = era !== null && snapshot.value.era !== null && snapshot.value.era < era;
+    if (isOfEarlierEra || (snapshot.value.era === era && snapshot.value.revision < seenRevision)) {
+      // An earlier state than the one that is known, as a router that is behind may have it.
       return 'unknown';
     }
     const isRestored = era !== null && snapshot.value.era !== era;
@@ -128,11 +140,9 @@
       restoredRevision = snapshot.value.revision;
     }
     ({ era } = snapshot.value);
-    // A refresh may overtake a poll; its changes are in the snapshot.
-    if (position === null || isRestored || position.revision < snapshot.value.revision) {
-      position = { revision: snapshot.value.revision, era };
-    }
-    listener.handleSnapshot(
+    seenRevision = snapshot.value.revision;
+    position = { revision: seenRevision, era };
+    await listener.handleSnapshot(
       snapshot.value.entries,
       restoredRevision === null ? null : { isFirst: isRestored, revision: restoredRevision },
     );
@@ -148,54 +158,58 @@
       await backOff(error);
     }
   };
+  /** Polls once from a position; returns the error of a poll that failed. */
+  const pollOnce = async (
+    after: Position,
+    waitMs: number,
+  ): Promise<stores.keyValueStore.KeyValueError | null> => {
+    const reading = clock.takeReading();
+    const polled = await store.waitForChanges(prefix, after.revision, waitMs);
+    if (isStopped || position === null || era !== after.era) {
+      // A refresh has read another era, or found a gap, meanwhile.
+      return null;
+    }
+    if (!polled.ok && polled.error !== 'compacted') {
+      return polled.error;
+    }
+    recordSuccess();
+    if (!polled.ok || polled.value.era !== after.era) {
+      log.info({ prefix, after }, 'change history incomplete, reading the prefix again');
+      position = null;
+      return null;
+    }
+    const { changes, revision, currentAfterMs } = polled.value;
+    // Two polls may be under way, so some of the changes may be known.
+    const fresh = changes.filter((change) => change.revision > seenRevision);
+    seenRevision = Math.max(seenRevision, revision);
+    position = { revision: seenRevision, era };
+    fresh.forEach(applyChange);
+    // A poll returns without changes only at its timeout, so the state was current then.
+    confirm(reading, currentAfterMs ?? (changes.length === 0 ? waitMs : 0));
+    return null;
+  };
+  const pollAgain = async (after: Position): Promise<void> => {
+    const error = await pollOnce(after, failures > 0 ? SHORT_WAIT_MS : getWaitMs());
+    if (error !== null) {
+      await backOff(error);
+    }
+  };
   let refreshing: Promise<boolean> | null = null;
   const refresh = (): Promise<boolean> => {
-    if (failures > 0) {
+    if (failures > 0 || position === null) {
       return Promise.resolve(false);
     }
-    refreshing ??= readOnce()
+    refreshing ??= pollOnce(position, SHORT_WAIT_MS)
       .then((error) => error === null)
       .finally(() => {
         refreshing = null;
       });
     return refreshing;
   };
-  const pollOnce = async (after: Position): Promise<void> => {
-    const reading = clock?.takeReading();
-    const pollMs = failures > 0 ? RESUME_WAIT_MS : waitMs;
-    const polled = await store.waitForChanges(prefix, after.revision, pollMs);
-    if (isStopped) {
-      return;
-    }
-    if (era !== after.era) {
-      // A refresh has read a later era meanwhile.
-      return;
-    }
-    if (polled.ok && polled.value.era !== after.era) {
-      position = null;
-    } else if (polled.ok) {
-      recordSuccess();
-      if (position === after) {
-        position = { revision: Math.max(after.revision, polled.value.revision), era: after.era };
-      }
-      polled.value.changes.forEach(listener.handleChange);
-      // A poll returns without changes only at its timeout, so the state was current then.
-      const isEmpty = polled.value.changes.length === 0;
-      confirm(reading, polled.value.currentAfterMs ?? (isEmpty ? pollMs : 0));
-      if (polled.value.changes.length > 0 && batchDelayMs > 0) {
-        await shared.delay.wait(batchDelayMs);
-      }
-    } else if (polled.error === 'compacted') {
-      log.info({ prefix, after }, 'change history compacted, reading the prefix again');
-      position = null;
-    } else {
-      await backOff(polled.error);
-    }
-  };
   const followPrefix = async (): Promise<void> => {
     while (!isStopped) {
       // eslint-disable-next-line no-await-in-loop -- each call follows the one before
-      await (position === null ? readAll() : pollOnce(position));
+      await (position === null ? readAll() : pollAgain(position));
     }
   };
   followPrefix().catch((error: unknown) => log.error({ error, prefix }, 'prefix feed failed'));
--- a/packages/router/src/routed/prefixLog.ts
+++ b/packages/router/src/routed/prefixLog.ts
@@ -10,12 +10,19 @@
 export interface PrefixLog {
   /** Takes over a read; what it changes is listed as changes, unless it is of another era. */
   readonly replace: (snapshot: stores.prefixStore.PrefixSnapshot) => void;
+  /** Returns whether a read shows an earlier state of the same era. */
+  readonly isBehind: (
+    snapshot: Pick<stores.prefixStore.PrefixSnapshot, 'era' | 'revision'>,
+  ) => boolean;
   /** Applies changes; returns false if they are of another era, or if nothing was read before. */
   readonly append: (changes: stores.prefixStore.PrefixChanges) => boolean;
-  /** Returns the entries, or null before the first read. */
-  readonly read: () => stores.prefixStore.PrefixSnapshot | null;
-  /** Returns the changes after a revision, or null if they are not all known. */
-  readonly listAfter: (revision: number) => stores.prefixStore.PrefixChanges | null;
+  /** Returns the entries whose keys begin with a prefix, or null before the first read. */
+  readonly read: (prefix?: string) => stores.prefixStore.PrefixSnapshot | null;
+  /** Returns the changes after a revision of such keys, or null if they are not all known. */
+  readonly listAfter: (
+    revision: number,
+    prefix?: string,
+  ) => stores.prefixStore.PrefixChanges | null;
 }
 
 type Entries = ReadonlyMap<string, stores.keyValueStore.KeyValueEntry>;
@@ -68,12 +75,17 @@
     }
     return true;
   };
+  const isOfSameEra = (snapshot: Pick<stores.prefixStore.PrefixSnapshot, 'era'>): boolean =>
+    snapshot.era === era && completeAfter !== Infinity;
+  const isBehind: PrefixLog['isBehind'] = (snapshot) =>
+    isOfSameEra(snapshot) && snapshot.revision < revision;
   return {
+    isBehind,
     replace: (snapshot) => {
-      const isSameEra = snapshot.era === era && completeAfter !== Infinity;
-      if (isSameEra && snapshot.revision < revision) {
+      if (isBehind(snapshot)) {
         return;
       }
+      const isSameEra = isOfSameEra(snapshot);
       const added = isSameEra ? diffEntries(entries, snapshot) : [];
       // Changes that the log should have had already cannot be listed: others may have read past them.
       if (isSameEra && added.every((change) => change.revision > revision)) {
@@ -87,15 +99,23 @@
       completeAfter = revision;
     },
     append,
-    read: () =>
-      completeAfter === Infinity ? null : { era, revision, entries: Array.from(entries.values()) },
-    listAfter: (after) =>
+    read: (prefix = '') =>
+      completeAfter === Infinity
+        ? null
+        : {
+            era,
+            revision,
+            entries: Array.from(entries.values()).filter(({ key }) => key.startsWith(prefix)),
+          },
+    listAfter: (after, prefix = '') =>
       after < completeAfter
         ? null
         : {
             era,
             revision: Math.max(after, revision),
-            changes: changes.filter((change) => change.revision > after),
+            changes: changes.filter(
+              ({ key, revision: at }) => at > after && key.startsWith(prefix),
+            ),
           },
   };
 };
--- a/packages/router/src/routed/routeSource.ts
+++ b/packages/router/src/routed/routeSource.ts
@@ -9,8 +9,10 @@
 export interface SourceContext {
   readonly runtime: routerRuntime.Runtime;
   readonly log: pino.Logger;
-  /** Records when the table in force was last confirmed. */
+  /** Records when routes and upstreams were last confirmed. */
   readonly clock: freshnessClock.FreshnessClock;
+  /** Returns the time within which news of the source has to be in force, in milliseconds. */
+  readonly getNewsMs: () => number;
   /** Adopts the newest table of routes that peers have; called once their addresses are known. */
   readonly fetchPeerRoutes: () => Promise<void>;
   readonly client: rpcClient.RpcClient;
@@ -22,7 +24,7 @@
   readonly start: () => Promise<void>;
   /** Resolves once routes and upstreams have been read, or a read has failed. */
   readonly firstOutcome: Promise<void>;
-  /** Confirms the table now; resolves to false if the source does not answer. */
+  /** Confirms routes and upstreams now; resolves to false if the source does not answer. */
   readonly refresh: () => Promise<boolean>;
   /** Records the outcome of a roll-out. */
   readonly recordCanaryOutcome: (effect: core.effects.EffectOf<'recordCanaryOutcome'>) => void;
--- a/packages/router/src/routed/routedAttempt.ts
+++ b/packages/router/src/routed/routedAttempt.ts
@@ -28,6 +28,8 @@
   readonly handleFailure: (failure: RoutedAttemptFailure) => void;
   /** A forwarded answer has paused for too long; the attempt goes on until it is cancelled. */
   readonly handleSilence: () => void;
+  /** Returns null if the list of upstreams is recent enough to send by; else resolves once its source was asked. */
+  readonly confirmUpstreams: () => Promise<void> | null;
   /** Returns why the request is no longer due on this upstream, or null if it is. */
   readonly detectOverdue: () => string | null;
   /** The request was handed to a connection. */
@@ -481,7 +483,12 @@
   };
 
   restartTimeout(send.headTimeoutMs);
-  barrier.run(sendRequest);
+  const confirmation = listener.confirmUpstreams();
+  if (confirmation === null) {
+    barrier.run(sendRequest);
+  } else {
+    confirmation.then(() => barrier.run(sendRequest)).catch(handleError);
+  }
   return {
     cancel: () => {
       isCancelled = true;
--- a/packages/router/src/routed/routedRunners.ts
+++ b/packages/router/src/routed/routedRunners.ts
@@ -8,6 +8,7 @@
 import * as attemptFailure from '../upstreams/attemptFailure.js';
 import type * as connectionPools from '../upstreams/connectionPools.js';
 import * as upstreamNotices from '../upstreams/upstreamNotices.js';
+import type * as freshnessGate from './freshnessGate.js';
 import type * as pendingRoutedRequest from './pendingRoutedRequest.js';
 import type * as reachabilityMonitor from './reachabilityMonitor.js';
 import type * as routeSource from './routeSource.js';
@@ -23,6 +24,8 @@
   readonly pools: connectionPools.ConnectionPools;
   readonly peers: peerService.PeerService;
   readonly source: routeSource.RouteSource;
+  readonly gate: freshnessGate.FreshnessGate;
+  readonly getMaxListAgeMs: () => number;
   readonly reachability: reachabilityMonitor.ReachabilityMonitor;
   readonly barrier: inputBarrier.InputBarrier;
   readonly loop: loopMonitor.LoopMonitor;
@@ -147,6 +150,7 @@
         );
         context.runtime.dispatch({ type: 'routedAttemptSilent', requestId, attemptId });
       },
+      confirmUpstreams: () => context.gate.confirm(context.getMaxListAgeMs()),
       detectOverdue: () =>
         core.overdueSend.detectOverdue(
           context.runtime.getState(),
--- a/packages/router/src/routed/routedServer.ts
+++ b/packages/router/src/routed/routedServer.ts
@@ -5,6 +5,7 @@
 import type * as callerConnections from '../callers/callerConnections.js';
 import type * as routerRuntime from '../routerRuntime.js';
 import type * as freshnessClock from './freshnessClock.js';
+import type * as freshnessGate from './freshnessGate.js';
 import type * as pendingRoutedRequest from './pendingRoutedRequest.js';
 
 /** Dependencies of the listener for routed requests. */
@@ -12,12 +13,11 @@
   readonly runtime: routerRuntime.Runtime;
   readonly pending: Map<string, pendingRoutedRequest.PendingRoutedRequest>;
   readonly clock: freshnessClock.FreshnessClock;
+  readonly gate: freshnessGate.FreshnessGate;
   readonly connections: callerConnections.CallerConnections;
   readonly limits: CallerLimits;
-  /** Returns the time since the table's last confirmation above which a request first refreshes it, in milliseconds. */
+  /** Returns the time since the table's last confirmation above which a request first confirms it, in milliseconds. */
   readonly getMaxTableAgeMs: () => number;
-  /** Confirms the table now; resolves to false if the source does not answer. */
-  readonly refreshTable: () => Promise<boolean>;
   /** Returns whether a new request may still be started: it has to be finished before the router has stopped. */
   readonly mayStart: () => boolean;
   /** Refuses a request that is no longer started because the router is stopping. */
@@ -133,7 +133,7 @@
 };
 
 /**
- * Reads a request and refreshes the table if its confirmation is too old. The request starts once the input that had
+ * Reads a request and confirms the table if its last confirmation is too old. The request starts once the input that had
  * arrived with it has been read, which may be the close of its connection.
  */
 const acceptRequest = async (
@@ -173,9 +173,10 @@
     lastEventId: call.lastEventId,
   };
   context.pending.set(pending.id, pending);
-  // After a suspension or a clock step, one read of the store shows whether the table is current.
-  if (context.clock.getAgeMs() > context.getMaxTableAgeMs()) {
-    await Promise.race([context.refreshTable(), shared.delay.wait(REFRESH_WAIT_MS)]);
+  // After a suspension or a clock step, one call to the store shows whether the table is current.
+  const confirmation = context.gate.confirm(context.getMaxTableAgeMs());
+  if (confirmation !== null) {
+    await Promise.race([confirmation, shared.delay.wait(REFRESH_WAIT_MS)]);
   }
   context.connections.admit(response, {
     start: () => {
--- a/packages/router/src/routed/sharedStore.ts
+++ b/packages/router/src/routed/sharedStore.ts
@@ -8,49 +8,44 @@
 import * as freshnessClock from './freshnessClock.js';
 import * as prefixLog from './prefixLog.js';
 
-/** Time by which a call to a reader may exceed the wait that it asks for, in milliseconds. */
-const WAIT_MARGIN_MS = 1_000;
-/** Time within which a change has to be known to a router whose reader gives no answer, in milliseconds. */
-const NEWS_MS = 2_000;
-/** Time without a sign of life after which a reader that holds a call counts as silent, in milliseconds. */
-const SILENCE_MS = 0.4 * NEWS_MS;
-/** Longest wait at a reader that gives no signs of life, in milliseconds; routers of the former build give none. */
-const UNWATCHED_HOLD_MS = 0.2 * NEWS_MS;
-/** Timeout of a call to a reader after another one was silent, in milliseconds. */
-const NEXT_READER_TIMEOUT_MS = 0.15 * NEWS_MS;
-/** Timeout of a read of a prefix through a reader, in milliseconds. */
-const READ_TIMEOUT_MS = 600;
-/** Age above that of a wait at which what a reader knows counts as outdated, in milliseconds. */
-const AGE_MARGIN_MS = 1_000;
-/** Time for which a reader that did not answer is not asked, in milliseconds. */
-const SILENT_READER_MS = 3_000;
+/** Prefix of all keys: one wait at the store, or at a reader, shows how old all that a router knows is. */
+export const ALL_KEYS = '';
+/**
+ * Shares of the time within which news has to be in force. A wait at the store without changes ends after the first, so
+ * that what is known is confirmed in time; above the second, another source is asked, whatever the one before says.
+ */
+const POLL_SHARE = 0.4;
+const STALE_SHARE = 0.6;
+/** Share of that time above which no further reader is asked, only the store. */
+const LATE_SHARE = 0.8;
+/** Shares of that time by which an answer of a reader, and of the store, may exceed the wait that it was asked for. */
+const READER_MARGIN_SHARE = 0.1;
+const STORE_MARGIN_SHARE = 0.35;
+/** Share of that time for which changes are collected after those that the store has sent, as they come in groups. */
+const BATCH_SHARE = 0.1;
 /**
- * Largest delay before the store is asked directly because a reader is outdated, in milliseconds; it spreads the calls
- * of the routers that share the reader.
+ * Largest share of that time by which a call to the store is delayed after readers were of no use; it spreads the calls
+ * of the routers that share them.
  */
-const FALLBACK_SPREAD_MS = 300;
+const SPREAD_SHARE = 0.05;
+/** Largest shares of that time between direct calls without an answer, after the first one and later ones. */
+const FIRST_RETRY_SHARE = 0.2;
+const DIRECT_RETRY_SHARE = 1;
+/** Share of that time for which a reader that did not answer, or knows nothing recent, is not asked. */
+const AVOIDED_SHARE = 1;
+/** Timeout of a read of a prefix through a reader, in milliseconds. */
+const READ_TIMEOUT_MS = 600;
 /**
  * Largest size of the values that a reader passes on, in characters; larger ones are read from the store, whose link is
  * wider than that of a reader with many routers behind it.
  */
 const MAX_RELAYED_SIZE = 65_536;
-/** Time between direct calls while the store does not answer either, in milliseconds, before jitter. */
-const DIRECT_RETRY_MS = 4_000;
-
 /**
- * Time for which a reader that cannot reach the store holds a router that knows it, in milliseconds, so that the router
- * hears at once when the store answers again.
+ * Time for which a reader that cannot reach the store holds a router that cannot either, in milliseconds, so that the
+ * router hears at once when the store answers again.
  */
 const RECOVERY_HOLD_MS = 2_000;
 
-/** What this router knows of a prefix. */
-interface KnownPrefix {
-  readonly log: prefixLog.PrefixLog;
-  readonly clock: freshnessClock.FreshnessClock;
-  isFailing: boolean;
-  waiters: (() => void)[];
-}
-
 /** Reads of the store that routers share. */
 export interface SharedStore {
   /** The store, which is read through another router where there is one that reads for this one. */
@@ -86,35 +81,50 @@
   readonly runtime: routerRuntime.Runtime;
   readonly client: rpcClient.RpcClient;
   readonly log: pino.Logger;
+  /** Returns the time within which news has to be in force, in milliseconds. */
+  readonly getNewsMs: () => number;
+}
+
+/** What a reader says of its own knowledge. */
+interface ReaderReply {
+  readonly ageMs: number;
+  readonly isFailing: boolean;
+  readonly isLarge: boolean;
+}
+
+/** Checks of a reader's answer. */
+interface ReplyChecks<T> {
+  /** Returns whether it shows an earlier state than the known one. */
+  readonly isBehind?: (reply: T) => boolean;
+  readonly hasChanges?: (reply: T) => boolean;
 }
 
 /**
- * Wraps a store so that a few routers read it for all. What a router passes on bears the age of its last confirmation, so
- * a relay never makes data look newer. A router whose readers are silent or outdated asks the store itself.
+ * Wraps a store so that a few routers read it for all. What a router knows bears the time at which the store confirmed
+ * it, and a router that passes it on never makes it look newer. Its age alone decides when to ask another source: a reader
+ * or a store that is silent, slow or overloaded makes no difference.
  */
 export const makeSharedStore = (
-  { runtime, client, log }: SharedStoreContext,
+  { runtime, client, log, getNewsMs }: SharedStoreContext,
   direct: stores.prefixStore.PrefixStore,
 ): SharedStore => {
-  const known = new Map<string, KnownPrefix>();
-  const silentUntilMs = new Map<string, number>();
+  const known = prefixLog.makePrefixLog();
+  const clock = freshnessClock.makeFreshnessClock();
+  const avoidedUntilMs = new Map<string, number>();
+  let isFailing = false;
+  let waiters: (() => void)[] = [];
+  let directFailures = 0;
   let directFailedUntilMs = -Infinity;
+  let batchedUntilMs = -Infinity;
   let lastSource: string | null = null;
 
-  const getKnown = (prefix: string): KnownPrefix => {
-    const existing = known.get(prefix) ?? {
-      log: prefixLog.makePrefixLog(),
-      clock: freshnessClock.makeFreshnessClock(),
-      isFailing: false,
-      waiters: [],
-    };
-    known.set(prefix, existing);
-    return existing;
-  };
-  const wakeWaiters = (prefix: KnownPrefix): void => {
-    const { waiters } = prefix;
-    Object.assign(prefix, { waiters: [] });
-    waiters.forEach((wake) => wake());
+  const listReaders = (): readonly string[] =>
+    core.storeReaders.listReaders(runtime.getState().members);
+  /** Time until what is known is stale, in milliseconds. */
+  const getTimeLeftMs = (): number => Math.max(0, getNewsMs() * STALE_SHARE - clock.getAgeMs());
+  const isLate = (): boolean => {
+    const ageMs = clock.getAgeMs();
+    return Number.isFinite(ageMs) && !isFailing && ageMs > getNewsMs() * LATE_SHARE;
   };
   const recordSource = (source: string): void => {
     if (source !== lastSource) {
@@ -127,47 +137,71 @@
    * applied, so that it confirms nothing.
    */
   const record = <T extends { readonly currentAfterMs?: number }>(
-    prefix: string,
     reading: freshnessClock.ClockReading,
     outcome: shared.outcome.Outcome<T, stores.prefixStore.WaitError>,
     apply: (value: T) => boolean,
   ): void => {
-    const entry = getKnown(prefix);
-    entry.isFailing = !outcome.ok && outcome.error !== 'compacted';
+    isFailing = !outcome.ok && outcome.error !== 'compacted';
     if (outcome.ok && apply(outcome.value)) {
-      entry.clock.confirm(reading, outcome.value.currentAfterMs ?? 0);
+      clock.confirm(reading, outcome.value.currentAfterMs ?? 0);
     }
-    wakeWaiters(entry);
+    const woken = waiters;
+    waiters = [];
+    woken.forEach((wake) => wake());
+  };
+  /** Waits until an outcome is recorded, or for a time in milliseconds. */
+  const waitForRecord = (durationMs: number): Promise<void> =>
+    new Promise((resolve) => {
+      const timer = setTimeout(resolve, durationMs);
+      waiters.push(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+  const avoid = (address: string, ageMs: number | null, askedAtMs: number): void => {
+    const afterMs = Math.round(performance.now() - askedAtMs);
+    log.info({ address, afterMs, ageMs }, ageMs === null ? 'reader silent' : 'reader outdated');
+    avoidedUntilMs.set(address, performance.now() + getNewsMs() * AVOIDED_SHARE);
   };
   /**
-   * Asks the readers in turn; null if none has an answer that is recent enough. After a silent one, news may already be
-   * late, so the next ones are asked for what they know.
+   * Asks the readers in turn while there is time; null if none has an answer that is of use: recent and not behind what
+   * is known, or with changes, which are true whatever their age.
    */
-  const askReaders = async <
-    T extends { readonly ageMs: number; readonly isFailing: boolean; readonly isLarge: boolean },
-  >(
-    ask: (address: string, isLate: boolean) => Promise<T | null>,
-    maxAgeMs: number,
+  const askReaders = async <T extends ReaderReply>(
+    ask: (address: string, isFirst: boolean) => Promise<T | null>,
+    { isBehind = () => false, hasChanges = () => false }: ReplyChecks<T>,
   ): Promise<T | null> => {
-    const readers = core.storeReaders
-      .listReaders(runtime.getState().members)
-      .filter((address) => (silentUntilMs.get(address) ?? -Infinity) < performance.now());
-    let isLate = false;
+    const readers = listReaders().filter(
+      (address) => (avoidedUntilMs.get(address) ?? -Infinity) < performance.now(),
+    );
     for (const address of readers) {
+      if (isLate()) {
+        break;
+      }
       const askedAtMs = performance.now();
       // eslint-disable-next-line no-await-in-loop -- the next reader is asked only if this one has no answer
-      const reply = await ask(address, isLate);
-      if (reply === null) {
-        isLate = true;
-        log.info({ address, afterMs: Math.round(performance.now() - askedAtMs) }, 'reader silent');
-        silentUntilMs.set(address, performance.now() + SILENT_READER_MS);
-      } else if (reply.ageMs <= maxAgeMs && !reply.isFailing && !reply.isLarge) {
+      const reply = await ask(address, address === readers[0]);
+      if (reply !== null && reply.isLarge) {
+        break;
+      }
+      const isRecent =
+        reply !== null && !reply.isFailing && reply.ageMs <= getNewsMs() * STALE_SHARE;
+      if (isRecent) {
+        // The store answers again, for this router too unless its own path is cut.
+        directFailures = 0;
+        directFailedUntilMs = -Infinity;
+      }
+      if (reply !== null && (hasChanges(reply) || (isRecent && !isBehind(reply)))) {
         recordSource(address);
         return reply;
       }
+      // A reader that fails is asked again, since it tells at once when the store answers.
+      if (reply === null || !reply.isFailing) {
+        avoid(address, reply?.ageMs ?? null, askedAtMs);
+      }
     }
-    if (readers.length > 0) {
-      await shared.delay.wait(Math.random() * FALLBACK_SPREAD_MS);
+    if (listReaders().length > 0) {
+      await shared.delay.wait(Math.random() * getNewsMs() * SPREAD_SHARE);
     }
     return null;
   };
@@ -175,32 +209,27 @@
   const askDirectly = async <T, E extends stores.prefixStore.WaitError>(
     call: () => Promise<shared.outcome.Outcome<T, E | 'unknown'>>,
   ): Promise<shared.outcome.Outcome<T, E | 'unknown'>> => {
-    const hasReaders = core.storeReaders.listReaders(runtime.getState().members).length > 0;
-    if (hasReaders && performance.now() < directFailedUntilMs) {
+    if (listReaders().length > 0 && performance.now() < directFailedUntilMs) {
       return shared.outcome.makeFailed('unknown');
     }
     const outcome = await call();
-    directFailedUntilMs =
-      outcome.ok || outcome.error === 'compacted'
-        ? -Infinity
-        : performance.now() + DIRECT_RETRY_MS * (0.5 + Math.random());
+    const isAnswered = outcome.ok || outcome.error === 'compacted';
+    directFailures = isAnswered ? 0 : directFailures + 1;
+    // A connection may have been dead; the next call is made on a new one, soon.
+    const retryMs = getNewsMs() * (directFailures === 1 ? FIRST_RETRY_SHARE : DIRECT_RETRY_SHARE);
+    directFailedUntilMs = isAnswered
+      ? -Infinity
+      : performance.now() + retryMs * (0.5 + 0.5 * Math.random());
     recordSource('store');
     return outcome;
   };
   const readPrefix: stores.prefixStore.PrefixStore['readPrefix'] = async (prefix) => {
-    const { takeReading } = getKnown(prefix).clock;
-    const reading = takeReading();
+    const reading = clock.takeReading();
     const reply = await askReaders(
-      (address, isLate) =>
-        client.call(
-          address,
-          'readPrefix',
-          { prefix },
-          isLate ? NEXT_READER_TIMEOUT_MS : READ_TIMEOUT_MS,
-        ),
-      READ_TIMEOUT_MS + AGE_MARGIN_MS,
+      (address) => client.call(address, 'readPrefix', { prefix }, READ_TIMEOUT_MS),
+      { isBehind: ({ snapshot }) => known.isBehind(snapshot) },
     );
-    const started = reply === null ? takeReading() : reading;
+    const started = reply === null ? clock.takeReading() : reading;
     const outcome =
       reply === null
         ? await askDirectly(() => direct.readPrefix(prefix))
@@ -208,8 +237,8 @@
             ...reply.snapshot,
             currentAfterMs: -reply.ageMs,
           });
-    record(prefix, started, outcome, (snapshot) => {
-      getKnown(prefix).log.replace(snapshot);
+    record(started, outcome, (snapshot) => {
+      known.replace(snapshot);
       return true;
     });
     return outcome.ok && reply === null
@@ -219,112 +248,118 @@
         })
       : outcome;
   };
+  /** Asks a reader to hold the call until there is news, or what this router knows is stale. */
+  const askToWait = (
+    address: string,
+    isFirst: boolean,
+    params: Omit<messages.PeerParams<'waitForPrefix'>, 'ageMs'>,
+  ): Promise<messages.PeerResult<'waitForPrefix'>> => {
+    const longestMs = isFailing ? RECOVERY_HOLD_MS : Math.min(params.waitMs, getTimeLeftMs());
+    const waitMs = isFirst || !isFailing ? longestMs : 0;
+    return client.call(
+      address,
+      'waitForPrefix',
+      { ...params, waitMs, ageMs: clock.getAgeMs(), isFailing },
+      waitMs + getNewsMs() * READER_MARGIN_SHARE,
+    );
+  };
+  /** Waits at the store until it has changes, or for as long as what is known need not be confirmed. */
+  const waitDirectly = async (
+    prefix: string,
+    after: number,
+    longestMs: number,
+  ): Promise<
+    shared.outcome.Outcome<stores.prefixStore.PrefixChanges, stores.prefixStore.WaitError>
+  > => {
+    const newsMs = getNewsMs();
+    const waitMs = Math.max(1, Math.min(longestMs, newsMs * POLL_SHARE - clock.getAgeMs()));
+    const outcome = await askDirectly<
+      stores.prefixStore.PrefixChanges,
+      stores.prefixStore.WaitError
+    >(() => direct.waitForChanges(prefix, after, waitMs, waitMs + newsMs * STORE_MARGIN_SHARE));
+    if (!outcome.ok) {
+      return outcome;
+    }
+    const isEmpty = outcome.value.changes.length === 0;
+    batchedUntilMs = isEmpty ? -Infinity : performance.now() + newsMs * BATCH_SHARE;
+    // An empty wait at the store ends at its timeout.
+    return shared.outcome.makeOk({ ...outcome.value, currentAfterMs: isEmpty ? waitMs : 0 });
+  };
   const waitForChanges: stores.prefixStore.PrefixStore['waitForChanges'] = async (
     prefix,
     after,
     waitMs,
   ) => {
-    const { isFailing, clock } = getKnown(prefix);
-    const { takeReading } = clock;
-    const reading = takeReading();
-    const holdMs = isFailing ? Math.max(waitMs, RECOVERY_HOLD_MS) : waitMs;
-    const askToWait = (
-      address: string,
-      readerWaitMs: number,
-      timeoutMs: number,
-    ): Promise<messages.PeerResult<'waitForPrefix'>> =>
-      client.callHeld(
-        address,
-        'waitForPrefix',
-        { prefix, after, waitMs: readerWaitMs, ageMs: clock.getAgeMs(), isFailing },
-        timeoutMs,
-        SILENCE_MS,
-      );
-    const reply = await askReaders((address, isLate) => {
-      const readerWaitMs = client.hasHeartbeat(address)
-        ? holdMs
-        : Math.min(holdMs, UNWATCHED_HOLD_MS);
-      return isLate
-        ? askToWait(address, 0, NEXT_READER_TIMEOUT_MS)
-        : askToWait(address, readerWaitMs, readerWaitMs + WAIT_MARGIN_MS);
-    }, holdMs + AGE_MARGIN_MS);
-    const started = reply === null ? takeReading() : reading;
-    const outcome =
-      reply === null
-        ? await askDirectly<stores.prefixStore.PrefixChanges, stores.prefixStore.WaitError>(() =>
-            direct.waitForChanges(prefix, after, waitMs),
-          )
-        : decodeWait(reply);
-    // An empty wait at the store ends at its timeout.
-    const currentAfterMs =
-      outcome.ok && reply === null && outcome.value.changes.length === 0 ? waitMs : 0;
-    const dated =
-      outcome.ok && reply === null
-        ? shared.outcome.makeOk({ ...outcome.value, currentAfterMs })
-        : outcome;
-    record(prefix, started, dated, (changes) => getKnown(prefix).log.append(changes));
-    return dated.ok && reply === null
+    const reading = clock.takeReading();
+    const reply = await askReaders(
+      (address, isFirst) => askToWait(address, isFirst, { prefix, after, waitMs }),
+      { hasChanges: ({ changes }) => changes !== null && changes.changes.length > 0 },
+    );
+    if (reply !== null) {
+      const relayed = decodeWait(reply);
+      record(reading, relayed, known.append);
+      return relayed;
+    }
+    if (performance.now() < batchedUntilMs) {
+      await shared.delay.wait(batchedUntilMs - performance.now());
+    }
+    const started = clock.takeReading();
+    const outcome = await waitDirectly(prefix, after, waitMs);
+    record(started, outcome, known.append);
+    return outcome.ok
       ? shared.outcome.makeOk({
-          ...dated.value,
-          currentAfterMs: currentAfterMs + started.monotonicMs - reading.monotonicMs,
+          ...outcome.value,
+          currentAfterMs:
+            (outcome.value.currentAfterMs ?? 0) + started.monotonicMs - reading.monotonicMs,
         })
-      : dated;
+      : outcome;
   };
   return {
     store: { ...direct, readPrefix, waitForChanges },
     serveRead: ({ prefix }) => {
-      const entry = known.get(prefix);
-      const snapshot = entry?.log.read() ?? null;
-      return entry === undefined || snapshot === null || !Number.isFinite(entry.clock.getAgeMs())
-        ? null
-        : {
-            snapshot: isTooLarge(snapshot.entries) ? { ...snapshot, entries: [] } : snapshot,
-            ageMs: entry.clock.getAgeMs(),
-            isFailing: entry.isFailing,
-            isLarge: isTooLarge(snapshot.entries),
-          };
+      const snapshot = known.read(prefix);
+      const ageMs = clock.getAgeMs();
+      if (snapshot === null || !Number.isFinite(ageMs)) {
+        return null;
+      }
+      const isLarge = isTooLarge(snapshot.entries);
+      return {
+        snapshot: isLarge ? { ...snapshot, entries: [] } : snapshot,
+        ageMs,
+        isFailing,
+        isLarge,
+      };
     },
-    serveWait: async ({ prefix, after, waitMs, ageMs, isFailing = false }) => {
-      const entry = known.get(prefix);
-      if (
-        entry === undefined ||
-        entry.log.read() === null ||
-        !Number.isFinite(entry.clock.getAgeMs())
-      ) {
+    serveWait: async ({ prefix, after, waitMs, ageMs, isFailing: isAskerFailing = false }) => {
+      if (!Number.isFinite(clock.getAgeMs())) {
         return null;
       }
       const startedAtMs = performance.now();
       const isNews = (): boolean => {
-        if (entry.isFailing || isFailing) {
-          return entry.isFailing !== isFailing;
+        if (isFailing || isAskerFailing) {
+          return isFailing !== isAskerFailing;
         }
-        const changes = entry.log.listAfter(after);
+        const changes = known.listAfter(after, prefix);
         const confirmedMs = (ageMs ?? Infinity) + performance.now() - startedAtMs;
         return (
           changes === null ||
           changes.changes.length > 0 ||
           // A confirmation is worth an answer only if it is clearly newer than the asking router's own.
-          confirmedMs - entry.clock.getAgeMs() > waitMs / 2
+          confirmedMs - clock.getAgeMs() > waitMs / 2
         );
       };
       while (!isNews() && performance.now() - startedAtMs < waitMs) {
         // eslint-disable-next-line no-await-in-loop -- each wait ends with news or the timeout
-        await new Promise<void>((resolve) => {
-          const timer = setTimeout(resolve, waitMs - (performance.now() - startedAtMs));
-          entry.waiters.push(() => {
-            clearTimeout(timer);
-            resolve();
-          });
-        });
+        await waitForRecord(waitMs - (performance.now() - startedAtMs));
       }
-      const changes = entry.log.listAfter(after);
+      const changes = known.listAfter(after, prefix);
       const isLarge = changes !== null && isTooLarge(changes.changes);
       return {
         changes: isLarge ? null : changes,
         isLarge,
         heldMs: performance.now() - startedAtMs,
-        ageMs: entry.clock.getAgeMs(),
-        isFailing: entry.isFailing,
+        ageMs: clock.getAgeMs(),
+        isFailing,
       };
     },
   };
--- a/packages/router/src/routed/startRoutedRouter.ts
+++ b/packages/router/src/routed/startRoutedRouter.ts
@@ -21,6 +21,7 @@
 import * as canaryReports from './canaryReports.js';
 import * as fileSource from './fileSource.js';
 import * as freshnessClock from './freshnessClock.js';
+import * as freshnessGate from './freshnessGate.js';
 import * as peerRoutes from './peerRoutes.js';
 import type * as pendingRoutedRequest from './pendingRoutedRequest.js';
 import * as reachabilityMonitor from './reachabilityMonitor.js';
@@ -34,7 +35,9 @@
 const TICK_MS = 200;
 /** Share of the bound on key revocation for which a confirmation of the table is valid. */
 const CONFIRMATION_AGE_SHARE = 0.78;
-/** Share of the same bound after which the router reports itself as not ready to the load balancer. */
+/** Share of the bound on news for which a confirmation of the list of upstreams is valid: the rest is for the send. */
+const LIST_AGE_SHARE = 0.8;
+/** Share of the bound on key revocation after which the router reports itself as not ready to the load balancer. */
 const READY_AGE_SHARE = 0.7;
 /**
  * Time for which a router reports itself as not ready after it took up connections whose callers may have left, in
@@ -77,6 +80,12 @@
   exposure: { share: settings.bounds.exposureShare, slack: settings.bounds.exposureSlack },
 });
 
+/** Returns the time within which a change of routes or upstreams has to be in force, in milliseconds. */
+const getNewsMs = ({
+  configurationMs,
+  drainMs = configurationMs,
+}: RoutedPlatform['bounds']): number => Math.min(configurationMs, drainMs);
+
 const getLocalAddress = (settings: shared.settings.Settings): string =>
   shared.settings.parseAddress(settings.peers).host;
 
@@ -102,6 +111,9 @@
   readonly runtime: routerRuntime.Runtime;
   readonly log: pino.Logger;
   readonly clock: freshnessClock.FreshnessClock;
+  readonly gate: freshnessGate.FreshnessGate;
+  /** Returns the age of the list of upstreams above which a send first confirms it, in milliseconds. */
+  readonly getMaxListAgeMs: () => number;
   readonly source: routeSource.RouteSource;
   readonly metrics: routedMetrics.RoutedMetrics;
   readonly pending: Map<string, pendingRoutedRequest.PendingRoutedRequest>;
@@ -168,6 +180,7 @@
   settings: shared.settings.Settings,
   platform: RoutedPlatform,
   baseDir: string,
+  getBounds: () => RoutedPlatform['bounds'],
 ): RoutedRouterParts => {
   const log = pino.pino({ level: settings.logLevel, base: { router: platform.name } });
   const runtime = makeRuntime(settings, platform);
@@ -179,6 +192,7 @@
       log,
       clock,
       client,
+      getNewsMs: () => getNewsMs(getBounds()),
       fetchPeerRoutes: () => peerRoutes.fetchPeerRoutes(runtime, client),
     },
     settings,
@@ -196,10 +210,13 @@
     relayClient.makeRelayClient(settings.peerSecret, getLocalAddress(settings), client),
   );
   const pools = connectionPools.makeConnectionPools(getLocalAddress(settings), barrier, paths);
+  const gate = freshnessGate.makeFreshnessGate({ clock, refresh: source.refresh, log });
   const parts: RoutedRouterParts = {
     runtime,
     log,
     clock,
+    gate,
+    getMaxListAgeMs: () => getNewsMs(getBounds()) * LIST_AGE_SHARE,
     source,
     client,
     metrics: routedMetrics.makeRoutedMetrics(),
@@ -232,16 +249,16 @@
   getBounds: () => RoutedPlatform['bounds'],
   getStopAgeMs: () => number | null,
 ): Promise<Listeners> => {
-  const { runtime, clock, source, intake } = parts;
+  const { runtime, clock, gate, source, intake } = parts;
   const isLeaving = (): boolean => getStopAgeMs() !== null;
   const callers = routedServer.makeRoutedServer({
     runtime,
     pending: parts.pending,
     clock,
+    gate,
     connections: parts.connections,
     endAbandoned: (pending) => routedRunners.endAbandoned(parts, pending),
     getMaxTableAgeMs: () => getBounds().revocationMs * CONFIRMATION_AGE_SHARE,
-    refreshTable: source.refresh,
     mayStart: () => (getStopAgeMs() ?? 0) <= START_MS,
     refuseLate: (pending) => routedRunners.refuseLate(parts, pending),
     limits: {
@@ -343,10 +360,10 @@
   platform: RoutedPlatform,
   baseDir = '.',
 ): StartingRoutedRouter => {
-  const parts = makeParts(settings, platform, baseDir);
+  let { bounds } = platform;
+  const parts = makeParts(settings, platform, baseDir, () => bounds);
   const { runtime, log, source } = parts;
   let stoppedAtMs: number | null = null;
-  let { bounds } = platform;
   let isClosed = false;
   let stopFeeds = (): void => undefined;
   let resolveStopping: () => void = () => undefined;
--- a/packages/shared/src/settings.ts
+++ b/packages/shared/src/settings.ts
@@ -26,6 +26,8 @@
     revocationMs: zod.number().positive().default(5_000),
     /** Time within which a new configuration must be in force, in milliseconds. */
     configurationMs: zod.number().positive().default(2_000),
+    /** Time after which an upstream that leaves gets no more requests, in milliseconds; by default `configurationMs`. */
+    drainMs: zod.number().positive().exactOptional(),
     /** Time between the stop signal and the end of the process, in milliseconds. */
     graceMs: zod.number().positive().default(8_000),
     /** Maximum share of a roll-out period's requests that a bad version may receive. */
--- a/packages/stores/src/prefixStore.ts
+++ b/packages/stores/src/prefixStore.ts
@@ -48,11 +48,15 @@
     key: string,
   ) => Promise<keyValueStore.KeyValueOutcome<keyValueStore.KeyValueEntry | null>>;
   readonly readPrefix: (prefix: string) => Promise<keyValueStore.KeyValueOutcome<PrefixSnapshot>>;
-  /** Resolves as soon as there are changes after a revision, or without changes after `waitMs`. */
+  /**
+   * Resolves as soon as there are changes after a revision, or without changes after `waitMs`; fails if there is no
+   * answer within `timeoutMs`, or a time that depends on the wait.
+   */
   readonly waitForChanges: (
     prefix: string,
     after: number,
     waitMs: number,
+    timeoutMs?: number,
   ) => Promise<shared.outcome.Outcome<PrefixChanges, WaitError>>;
   readonly commit: (
     transaction: keyValueStore.Transaction,
