fix(router): removed entries are kept after an outage of the store only, not after a dead connection

Callers saw: a router alone whose connections to the store had fallen silent sent requests to an upstream up to 2,787 ms after its entry was removed (bound 2 s), 1.9 s longer than to one that said that it leaves. Cause: an entry that is removed is kept for 1.9 s after a failed call, since entries may lapse in an outage of the store; a failure of the router's own path was taken for one, from when it was noticed. Change: an outage is a time without any confirmation for longer than the bound on news; entries do not lapse in a shorter one.

--- a/packages/router/src/routed/hostFeed.ts
+++ b/packages/router/src/routed/hostFeed.ts
@@ -19,7 +19,7 @@
 /** Follows the entries that upstreams register in the store and reports changed and removed hosts. */
 export const makeHostFeed = (
   runtime: routerRuntime.Runtime,
-  getTimeSinceFailureMs: () => number,
+  getTimeSinceOutageMs: () => number,
   log: pino.Logger,
 ): HostFeed => {
   const lastReported = new Map<string, string>();
@@ -64,7 +64,7 @@
   };
   /** Delays the removal after a store outage, since an entry that expired during it may be registered again. */
   const scheduleRemoval = (key: string): void => {
-    const delayMs = prefixFeed.REWRITE_MS - getTimeSinceFailureMs();
+    const delayMs = prefixFeed.REWRITE_MS - getTimeSinceOutageMs();
     if (delayMs <= 0) {
       removeEntry(key);
     } else if (!removalTimers.has(key)) {
--- a/packages/router/src/routed/prefixFeed.ts
+++ b/packages/router/src/routed/prefixFeed.ts
@@ -27,8 +27,11 @@
   readonly firstRead: Promise<void>;
   /** Resolves when a call to the store has failed for the first time. */
   readonly firstFailure: Promise<void>;
-  /** Time since the store last failed to answer or lost data, in milliseconds; Infinity if it never did. */
-  readonly getTimeSinceFailureMs: () => number;
+  /**
+   * Time since the end of the last outage of the store, in milliseconds; Infinity if there was none. It lost data, or
+   * confirmed nothing for longer than a poll, so that entries may have lapsed that their owners write again.
+   */
+  readonly getTimeSinceOutageMs: () => number;
   /**
    * Confirms what is known, or learns what has changed, now; concurrent calls share one. Resolves to false if the store
    * does not answer.
@@ -73,7 +76,7 @@
   const { prefix, getWaitMs, clock } = options;
   let isStopped = false;
   let failures = 0;
-  let failedAtMs = -Infinity;
+  let outageAtMs = -Infinity;
   let position: Position | null = null;
   let era: stores.prefixStore.StoreEra = null;
   /** Revision up to which all changes of the era are known. */
@@ -102,7 +105,10 @@
   };
   const backOff = async (error: string): Promise<void> => {
     failures += 1;
-    failedAtMs = performance.now();
+    // A shorter failure is one of this router's connection, or too short for an entry to lapse.
+    if (clock.getAgeMs() > getWaitMs()) {
+      outageAtMs = performance.now();
+    }
     resolveFirstFailure();
     if (failures === 1) {
       log.warn({ prefix, error }, 'store does not answer');
@@ -135,8 +141,8 @@
     const isRestored = era !== null && snapshot.value.era !== era;
     if (isRestored) {
       log.warn({ prefix, era: snapshot.value.era }, 'store went back to an older copy');
-      failedAtMs = performance.now();
-      restoredAtMs = failedAtMs;
+      outageAtMs = performance.now();
+      restoredAtMs = outageAtMs;
       restoredRevision = snapshot.value.revision;
     }
     ({ era } = snapshot.value);
@@ -216,7 +222,7 @@
   return {
     firstRead,
     firstFailure,
-    getTimeSinceFailureMs: () => performance.now() - failedAtMs,
+    getTimeSinceOutageMs: () => performance.now() - outageAtMs,
     refresh,
     stop: () => {
       isStopped = true;
--- a/packages/router/src/routed/storeSource.ts
+++ b/packages/router/src/routed/storeSource.ts
@@ -22,11 +22,7 @@
   const guards = guardRecords.makeGuardRecords(runtime, store, log);
   let registration: peerFeed.PeerFeed | null = null;
   let feed: prefixFeed.PrefixFeed | null = null;
-  const hosts = hostFeed.makeHostFeed(
-    runtime,
-    () => feed?.getTimeSinceFailureMs() ?? Infinity,
-    log,
-  );
+  const hosts = hostFeed.makeHostFeed(runtime, () => feed?.getTimeSinceOutageMs() ?? Infinity, log);
   let resolveFirstOutcome: () => void = () => undefined;
   const firstOutcome = new Promise<void>((resolve) => {
     resolveFirstOutcome = resolve;
