fix(router): knowledge of another era of the store, and one failed call, do not mislead a router

Found by the review of the redesign, each shown by a test that failed (sharedStoreAges, pagedReads): - A reader that is cut off since before the store went back to a copy answered each poll of its followers with changes of the former era, upon which they read the whole store again: 17 to 21 whole reads in a second for one router. Changes are taken from the known era only, and a reader that is in an earlier one, or whose history is too short, is left for the next. - An earlier era, read through such a reader, replaced the later one and lent it its age (1,000 ms old, told as 2 to 6 ms). Earlier eras are behind, and a new era resets the clock. - One refused call made a router whose readers fail too wait 2 s at one of them (2,039 to 2,133 ms, bound 2,000). It waits no longer than until it asks the store itself, at once after a first failure. - Two polls on the same dead connection counted as two failures (next call after 1,063 to 1,982 ms). - A log that was read in pages named a revision below its own changes, so that they were told again. Evidence: all tests of packages/router pass (100).

--- a/packages/router/src/peers/messages.ts
+++ b/packages/router/src/peers/messages.ts
@@ -84,7 +84,7 @@
       readonly waitMs: number;
       /** Age of the asking router's own confirmation, in milliseconds; null if it has none. */
       readonly ageMs: number | null;
-      /** True if no call of the asking router for this prefix succeeds at present. */
+      /** True if no call of the asking router succeeds at present. */
       readonly isFailing?: boolean;
     };
     readonly result: {
--- a/packages/router/src/routed/freshnessClock.ts
+++ b/packages/router/src/routed/freshnessClock.ts
@@ -4,6 +4,8 @@
   readonly takeReading: () => ClockReading;
   /** Records that the data was current at a reading, or `laterMs` milliseconds after it but not later than now. */
   readonly confirm: (reading: ClockReading, laterMs?: number) => void;
+  /** Forgets all confirmations, as they say nothing of what is known from now on. */
+  readonly reset: () => void;
   /** Time since the last confirmation, in milliseconds; Infinity before the first. */
   readonly getAgeMs: () => number;
 }
@@ -37,6 +39,9 @@
         last = moment;
       }
     },
+    reset: () => {
+      last = null;
+    },
     getAgeMs: () => {
       if (last === null) {
         return Infinity;
--- a/packages/router/src/routed/prefixLog.ts
+++ b/packages/router/src/routed/prefixLog.ts
@@ -6,14 +6,17 @@
 
 const getSize = ({ value }: stores.prefixStore.PrefixChange): number => value?.length ?? 0;
 
+/** A moment in the store's history. */
+export type StoreMoment = Pick<stores.prefixStore.PrefixSnapshot, 'era' | 'revision'>;
+
 /** The entries under a prefix and their latest changes, as this router has read them. */
 export interface PrefixLog {
   /** Takes over a read; what it changes is listed as changes, unless it is of another era. */
   readonly replace: (snapshot: stores.prefixStore.PrefixSnapshot) => void;
-  /** Returns whether a read shows an earlier state of the same era. */
-  readonly isBehind: (
-    snapshot: Pick<stores.prefixStore.PrefixSnapshot, 'era' | 'revision'>,
-  ) => boolean;
+  /** Returns whether a state is an earlier one than the known state: of an earlier era, or of an earlier revision of its era. */
+  readonly isBehind: (state: StoreMoment) => boolean;
+  /** Returns whether a state is of the era of the known state. */
+  readonly isOfSameEra: (state: Pick<StoreMoment, 'era'>) => boolean;
   /** Applies changes; returns false if they are of another era, or if nothing was read before. */
   readonly append: (changes: stores.prefixStore.PrefixChanges) => boolean;
   /** Returns the entries whose keys begin with a prefix, or null before the first read. */
@@ -27,7 +30,10 @@
 
 type Entries = ReadonlyMap<string, stores.keyValueStore.KeyValueEntry>;
 
-/** Lists what has changed between known entries and a later read, in the order of the revisions. */
+/**
+ * Lists what has changed between known entries and a later read, in the order of the revisions. Entries that changed while
+ * the pages of the read were fetched are left to the changes that follow it.
+ */
 const diffEntries = (
   known: Entries,
   { entries, revision }: stores.prefixStore.PrefixSnapshot,
@@ -38,7 +44,7 @@
     .map((key) => ({ key, value: null, revision }));
   const changed = entries.filter(
     ({ key, value, revision: at }) =>
-      known.get(key)?.revision !== at || known.get(key)?.value !== value,
+      at <= revision && (known.get(key)?.revision !== at || known.get(key)?.value !== value),
   );
   return [...removed, ...changed].toSorted((a, b) => a.revision - b.revision);
 };
@@ -75,12 +81,15 @@
     }
     return true;
   };
-  const isOfSameEra = (snapshot: Pick<stores.prefixStore.PrefixSnapshot, 'era'>): boolean =>
-    snapshot.era === era && completeAfter !== Infinity;
-  const isBehind: PrefixLog['isBehind'] = (snapshot) =>
-    isOfSameEra(snapshot) && snapshot.revision < revision;
+  const isOfSameEra: PrefixLog['isOfSameEra'] = (state) =>
+    state.era === era && completeAfter !== Infinity;
+  const isBehind: PrefixLog['isBehind'] = (state) =>
+    isOfSameEra(state)
+      ? state.revision < revision
+      : era !== null && state.era !== null && state.era < era;
   return {
     isBehind,
+    isOfSameEra,
     replace: (snapshot) => {
       if (isBehind(snapshot)) {
         return;
--- a/packages/router/src/routed/sharedStore.ts
+++ b/packages/router/src/routed/sharedStore.ts
@@ -28,8 +28,7 @@
  * of the routers that share them.
  */
 const SPREAD_SHARE = 0.05;
-/** Largest shares of that time between direct calls without an answer, after the first one and later ones. */
-const FIRST_RETRY_SHARE = 0.2;
+/** Largest share of that time between direct calls without an answer. */
 const DIRECT_RETRY_SHARE = 1;
 /** Share of that time for which a reader that did not answer, or knows nothing recent, is not asked. */
 const AVOIDED_SHARE = 1;
@@ -40,12 +39,6 @@
  * wider than that of a reader with many routers behind it.
  */
 const MAX_RELAYED_SIZE = 65_536;
-/**
- * Time for which a reader that cannot reach the store holds a router that cannot either, in milliseconds, so that the
- * router hears at once when the store answers again.
- */
-const RECOVERY_HOLD_MS = 2_000;
-
 /** Reads of the store that routers share. */
 export interface SharedStore {
   /** The store, which is read through another router where there is one that reads for this one. */
@@ -114,6 +107,7 @@
   let isFailing = false;
   let waiters: (() => void)[] = [];
   let directFailures = 0;
+  let directFailedAtMs = -Infinity;
   let directFailedUntilMs = -Infinity;
   let batchedUntilMs = -Infinity;
   let lastSource: string | null = null;
@@ -158,6 +152,11 @@
         resolve();
       });
     });
+  /** The store answers a router again, so it may answer this one too. */
+  const recordStoreAnswer = (): void => {
+    directFailures = 0;
+    directFailedUntilMs = -Infinity;
+  };
   const avoid = (address: string, ageMs: number | null, askedAtMs: number): void => {
     const afterMs = Math.round(performance.now() - askedAtMs);
     log.info({ address, afterMs, ageMs }, ageMs === null ? 'reader silent' : 'reader outdated');
@@ -187,9 +186,7 @@
       const isRecent =
         reply !== null && !reply.isFailing && reply.ageMs <= getNewsMs() * STALE_SHARE;
       if (isRecent) {
-        // The store answers again, for this router too unless its own path is cut.
-        directFailures = 0;
-        directFailedUntilMs = -Infinity;
+        recordStoreAnswer();
       }
       if (reply !== null && (hasChanges(reply) || (isRecent && !isBehind(reply)))) {
         recordSource(address);
@@ -212,15 +209,21 @@
     if (listReaders().length > 0 && performance.now() < directFailedUntilMs) {
       return shared.outcome.makeFailed('unknown');
     }
+    const calledAtMs = performance.now();
     const outcome = await call();
-    const isAnswered = outcome.ok || outcome.error === 'compacted';
-    directFailures = isAnswered ? 0 : directFailures + 1;
-    // A connection may have been dead; the next call is made on a new one, soon.
-    const retryMs = getNewsMs() * (directFailures === 1 ? FIRST_RETRY_SHARE : DIRECT_RETRY_SHARE);
-    directFailedUntilMs = isAnswered
-      ? -Infinity
-      : performance.now() + retryMs * (0.5 + 0.5 * Math.random());
     recordSource('store');
+    if (outcome.ok || outcome.error === 'compacted') {
+      recordStoreAnswer();
+    } else if (calledAtMs >= directFailedAtMs) {
+      // Calls that were under way together failed for one reason.
+      directFailures += 1;
+      directFailedAtMs = performance.now();
+      // A connection may have been dead, so the first call after it, on a new one, need not wait.
+      directFailedUntilMs =
+        directFailures === 1
+          ? -Infinity
+          : directFailedAtMs + getNewsMs() * DIRECT_RETRY_SHARE * (0.5 + 0.5 * Math.random());
+    }
     return outcome;
   };
   const readPrefix: stores.prefixStore.PrefixStore['readPrefix'] = async (prefix) => {
@@ -238,8 +241,11 @@
             currentAfterMs: -reply.ageMs,
           });
     record(started, outcome, (snapshot) => {
+      if (!known.isOfSameEra(snapshot)) {
+        clock.reset();
+      }
       known.replace(snapshot);
-      return true;
+      return !known.isBehind(snapshot);
     });
     return outcome.ok && reply === null
       ? shared.outcome.makeOk({
@@ -254,7 +260,10 @@
     isFirst: boolean,
     params: Omit<messages.PeerParams<'waitForPrefix'>, 'ageMs'>,
   ): Promise<messages.PeerResult<'waitForPrefix'>> => {
-    const longestMs = isFailing ? RECOVERY_HOLD_MS : Math.min(params.waitMs, getTimeLeftMs());
+    // While all sources fail, a reader that fails too holds the call until it hears from the store, or this router asks it.
+    const longestMs = isFailing
+      ? Math.max(0, directFailedUntilMs - performance.now())
+      : Math.min(params.waitMs, getTimeLeftMs());
     const waitMs = isFirst || !isFailing ? longestMs : 0;
     return client.call(
       address,
@@ -293,7 +302,13 @@
     const reading = clock.takeReading();
     const reply = await askReaders(
       (address, isFirst) => askToWait(address, isFirst, { prefix, after, waitMs }),
-      { hasChanges: ({ changes }) => changes !== null && changes.changes.length > 0 },
+      {
+        // A reader whose history is too short is of no use: the store's may be longer.
+        isBehind: ({ changes }) =>
+          changes === null || known.isBehind({ era: changes.era, revision: Infinity }),
+        hasChanges: ({ changes }) =>
+          changes !== null && changes.changes.length > 0 && known.isOfSameEra(changes),
+      },
     );
     if (reply !== null) {
       const relayed = decodeWait(reply);
