fix(router): a source that was asked has confirmed something only if the clock says so

The age decides after the call, and what is missing is read in it. - While a restored store confirms nothing, each send asked it (50 calls in 50 sends): a source that did not confirm is asked again after 0.2 s at the earliest. - An outage that ended in a long call was not one, so that entries that had lapsed in it were removed at once. It is judged when the store answers again. - The time-out of an upstream ran while the list was confirmed, and counted against the upstream. - The age was checked before the input barrier, not behind it. - Changes that came during a read in pages brought a former value back for a moment. - A read that cannot be applied ended the feed for good; it is logged.

--- a/packages/router/__tests__/freshnessGate.spec.ts
+++ b/packages/router/__tests__/freshnessGate.spec.ts
@@ -9,13 +9,13 @@
   readonly countCalls: () => number;
 }
 
-const makeGate = (ages: readonly number[], isAnswered: boolean): Source => {
+/** Makes a gate before a source of some age, which has another age once it was asked. */
+const makeGate = (ageMs: number, refreshedAgeMs: number): Source => {
   let calls = 0;
   const gate = freshnessGate.makeFreshnessGate({
-    clock: { getAgeMs: () => ages[Math.min(calls, ages.length - 1)] ?? 0 },
+    clock: { getAgeMs: () => (calls === 0 ? ageMs : refreshedAgeMs) },
     refresh: async () => {
       calls += 1;
-      return isAnswered;
     },
     log: pino.pino({ level: 'silent' }),
   });
@@ -23,19 +23,21 @@
 };
 
 test('what was confirmed recently is used at once', (t) => {
-  const { gate, countCalls } = makeGate([MAX_AGE_MS], true);
+  const { gate, countCalls } = makeGate(MAX_AGE_MS, 0);
   t.is(gate.confirm(MAX_AGE_MS), null);
   t.is(countCalls(), 0);
 });
 
 test('the source is asked before what is too old is used', async (t) => {
-  const { gate, countCalls } = makeGate([MAX_AGE_MS + 1, 0], true);
+  const { gate, countCalls } = makeGate(MAX_AGE_MS + 1, 0);
   await gate.confirm(MAX_AGE_MS);
   t.is(countCalls(), 1);
   t.is(gate.confirm(MAX_AGE_MS), null);
 });
 
-test('a router that is cut off from its source goes on with what it knows', async (t) => {
-  const { gate } = makeGate([Infinity], false);
-  await t.notThrowsAsync(gate.confirm(MAX_AGE_MS) ?? Promise.reject());
+test('a router that is cut off from its source goes on with what it knows, and asks seldom', async (t) => {
+  const { gate, countCalls } = makeGate(Infinity, Infinity);
+  await Promise.all([gate.confirm(MAX_AGE_MS), gate.confirm(MAX_AGE_MS)]);
+  t.is(gate.confirm(MAX_AGE_MS), null);
+  t.is(countCalls(), 1);
 });
--- a/packages/router/__tests__/prefixFeed.spec.ts
+++ b/packages/router/__tests__/prefixFeed.spec.ts
@@ -75,7 +75,7 @@
   });
   const { feed, values } = startFeed(t, [makeSnapshot(5)], [first, makeChanges(6, 7)]);
   await shared.delay.wait(SETTLE_MS);
-  t.true(await feed.refresh());
+  await feed.refresh();
   answerFirst(makeChanges(6));
   await shared.delay.wait(SETTLE_MS);
   t.deepEqual(values, ['v5', 'v6', 'v7']);
--- a/packages/router/src/routed/fileSource.ts
+++ b/packages/router/src/routed/fileSource.ts
@@ -29,18 +29,17 @@
       log.warn({ problems }, 'route table rejected, keeping the one in force');
     }
   };
-  const poll = (): boolean => {
+  const poll = (): void => {
     const reading = clock.takeReading();
     const modifiedAtMs = fs.statSync(file, { throwIfNoEntry: false })?.mtimeMs;
     if (modifiedAtMs === undefined) {
-      return false;
+      return;
     }
     if (modifiedAtMs !== lastModifiedAtMs) {
       lastModifiedAtMs = modifiedAtMs;
       loadTable();
     }
     clock.confirm(reading);
-    return true;
   };
   return {
     firstOutcome: Promise.resolve(),
--- a/packages/router/src/routed/freshnessGate.ts
+++ b/packages/router/src/routed/freshnessGate.ts
@@ -1,19 +1,22 @@
 import type * as pino from 'pino';
 import type * as freshnessClock from './freshnessClock.js';
 
+/** Shortest time between two calls to a source that does not confirm what is known, in milliseconds. */
+const PAUSE_MS = 200;
+
 /** Dependencies of the gate. */
 export interface FreshnessGateContext {
   readonly clock: Pick<freshnessClock.FreshnessClock, 'getAgeMs'>;
-  /** Confirms routes and upstreams now; resolves to false if their source does not answer. */
-  readonly refresh: () => Promise<boolean>;
+  /** Confirms routes and upstreams now if their source answers, as the clock tells then. */
+  readonly refresh: () => Promise<void>;
   readonly log: pino.Logger;
 }
 
 /** Confirms routes and upstreams before they are used. */
 export interface FreshnessGate {
   /**
-   * Returns null if they were confirmed within `maxAgeMs` milliseconds; else resolves once their source was asked. If it
-   * does not answer, the router is cut off, and goes on with what it knows.
+   * Returns null if they were confirmed within `maxAgeMs` milliseconds, or their source was asked a moment ago; else
+   * resolves once it was asked. If it does not confirm them, the router is cut off, and goes on with what it knows.
    */
   readonly confirm: (maxAgeMs: number) => Promise<void> | null;
 }
@@ -22,6 +25,8 @@
 export const makeFreshnessGate = ({ clock, refresh, log }: FreshnessGateContext): FreshnessGate => {
   /** The smallest age that a use has allowed and that was exceeded; null while there is none. */
   let exceededMs: number | null = null;
+  let askedAtMs = -Infinity;
+  let refreshing: Promise<void> | null = null;
   const recordConfirmed = (): void => {
     const ageMs = clock.getAgeMs();
     if (exceededMs !== null && ageMs <= exceededMs) {
@@ -41,9 +46,19 @@
         recordConfirmed();
         return null;
       }
-      return refresh().then((isConfirmed) =>
-        isConfirmed ? recordConfirmed() : recordOutdated(maxAgeMs),
-      );
+      if (refreshing === null && performance.now() - askedAtMs < PAUSE_MS) {
+        return null;
+      }
+      refreshing ??= refresh().then(() => {
+        refreshing = null;
+        askedAtMs = performance.now();
+        if (clock.getAgeMs() <= maxAgeMs) {
+          recordConfirmed();
+        } else {
+          recordOutdated(maxAgeMs);
+        }
+      });
+      return refreshing;
     },
   };
 };
--- a/packages/router/src/routed/prefixFeed.ts
+++ b/packages/router/src/routed/prefixFeed.ts
@@ -33,10 +33,10 @@
    */
   readonly getTimeSinceOutageMs: () => number;
   /**
-   * Confirms what is known, or learns what has changed, now; concurrent calls share one. Resolves to false if the store
-   * does not answer.
+   * Confirms what is known, or learns what has changed, now, if the store answers; the clock tells. Concurrent calls share
+   * one; none is made while the store is known not to answer.
    */
-  readonly refresh: () => Promise<boolean>;
+  readonly refresh: () => Promise<void>;
   readonly stop: () => void;
 }
 
@@ -81,6 +81,8 @@
   let era: stores.prefixStore.StoreEra = null;
   /** Revision up to which all changes of the era are known. */
   let seenRevision = -1;
+  /** Later revisions of entries that a read in pages has shown. */
+  let aheadRevisions: ReadonlyMap<string, number> = new Map();
   let resolveFirstRead: () => void = () => undefined;
   const firstRead = new Promise<void>((resolve) => {
     resolveFirstRead = resolve;
@@ -97,18 +99,16 @@
       clock.confirm(reading, laterMs);
     }
   };
+  /** Records an answer after failures: they were an outage if nothing was confirmed for so long that entries may lapse. */
   const recordSuccess = (): void => {
     if (failures > 0) {
       log.info({ prefix, failures }, 'store answers again');
+      outageAtMs = clock.getAgeMs() > getWaitMs() ? performance.now() : outageAtMs;
     }
     failures = 0;
   };
   const backOff = async (error: string): Promise<void> => {
     failures += 1;
-    // A shorter failure is one of this router's connection, or too short for an entry to lapse.
-    if (clock.getAgeMs() > getWaitMs()) {
-      outageAtMs = performance.now();
-    }
     resolveFirstFailure();
     if (failures === 1) {
       log.warn({ prefix, error }, 'store does not answer');
@@ -138,6 +138,7 @@
       // An earlier state than the one that is known, as a router that is behind may have it.
       return 'unknown';
     }
+    recordSuccess();
     const isRestored = era !== null && snapshot.value.era !== era;
     if (isRestored) {
       log.warn({ prefix, era: snapshot.value.era }, 'store went back to an older copy');
@@ -148,19 +149,24 @@
     ({ era } = snapshot.value);
     seenRevision = snapshot.value.revision;
     position = { revision: seenRevision, era };
-    await listener.handleSnapshot(
-      snapshot.value.entries,
-      restoredRevision === null ? null : { isFirst: isRestored, revision: restoredRevision },
+    aheadRevisions = new Map(
+      snapshot.value.entries
+        .filter(({ revision }) => revision > seenRevision)
+        .map(({ key, revision }) => [key, revision]),
     );
+    await listener
+      .handleSnapshot(
+        snapshot.value.entries,
+        restoredRevision === null ? null : { isFirst: isRestored, revision: restoredRevision },
+      )
+      .catch((error: unknown) => log.error({ error, prefix }, 'entries not applied'));
     confirm(reading, snapshot.value.currentAfterMs ?? 0);
     resolveFirstRead();
     return null;
   };
   const readAll = async (): Promise<void> => {
     const error = await readOnce();
-    if (error === null) {
-      recordSuccess();
-    } else {
+    if (error !== null) {
       await backOff(error);
     }
   };
@@ -186,7 +192,9 @@
     }
     const { changes, revision, currentAfterMs } = polled.value;
     // Two polls may be under way, so some of the changes may be known.
-    const fresh = changes.filter((change) => change.revision > seenRevision);
+    const fresh = changes.filter(
+      ({ key, revision: at }) => at > Math.max(seenRevision, aheadRevisions.get(key) ?? -1),
+    );
     seenRevision = Math.max(seenRevision, revision);
     position = { revision: seenRevision, era };
     fresh.forEach(applyChange);
@@ -200,16 +208,20 @@
       await backOff(error);
     }
   };
-  let refreshing: Promise<boolean> | null = null;
-  const refresh = (): Promise<boolean> => {
+  const pollNow = async (after: Position): Promise<void> => {
+    const error = await pollOnce(after, SHORT_WAIT_MS);
+    if (error === null && position === null) {
+      await readOnce();
+    }
+  };
+  let refreshing: Promise<void> | null = null;
+  const refresh = (): Promise<void> => {
     if (failures > 0 || position === null) {
-      return Promise.resolve(false);
+      return Promise.resolve();
     }
-    refreshing ??= pollOnce(position, SHORT_WAIT_MS)
-      .then((error) => error === null)
-      .finally(() => {
-        refreshing = null;
-      });
+    refreshing ??= pollNow(position).finally(() => {
+      refreshing = null;
+    });
     return refreshing;
   };
   const followPrefix = async (): Promise<void> => {
--- a/packages/router/src/routed/routeSource.ts
+++ b/packages/router/src/routed/routeSource.ts
@@ -24,8 +24,8 @@
   readonly start: () => Promise<void>;
   /** Resolves once routes and upstreams have been read, or a read has failed. */
   readonly firstOutcome: Promise<void>;
-  /** Confirms routes and upstreams now; resolves to false if the source does not answer. */
-  readonly refresh: () => Promise<boolean>;
+  /** Confirms routes and upstreams now if the source answers, as the clock tells then. */
+  readonly refresh: () => Promise<void>;
   /** Records the outcome of a roll-out. */
   readonly recordCanaryOutcome: (effect: core.effects.EffectOf<'recordCanaryOutcome'>) => void;
   /** Records that a guard on requests that crash upstreams has begun or ended. */
--- a/packages/router/src/routed/routedAttempt.ts
+++ b/packages/router/src/routed/routedAttempt.ts
@@ -482,13 +482,25 @@
     );
   };
 
+  /** Sends the request, or confirms the list of upstreams first; the time-out is the upstream's, so it waits for that. */
+  const sendConfirmed = (): void => {
+    const confirmation = listener.confirmUpstreams();
+    if (confirmation === null) {
+      sendRequest();
+      return;
+    }
+    stopTimer();
+    confirmation
+      .then(() => {
+        if (!isCancelled && !isClosed) {
+          restartTimeout(send.headTimeoutMs);
+          barrier.run(sendRequest);
+        }
+      })
+      .catch(handleError);
+  };
   restartTimeout(send.headTimeoutMs);
-  const confirmation = listener.confirmUpstreams();
-  if (confirmation === null) {
-    barrier.run(sendRequest);
-  } else {
-    confirmation.then(() => barrier.run(sendRequest)).catch(handleError);
-  }
+  barrier.run(sendConfirmed);
   return {
     cancel: () => {
       isCancelled = true;
--- a/packages/router/src/routed/storeSource.ts
+++ b/packages/router/src/routed/storeSource.ts
@@ -113,7 +113,7 @@
         .catch(() => undefined);
       await feed.firstRead;
     },
-    refresh: () => feed?.refresh() ?? Promise.resolve(false),
+    refresh: () => feed?.refresh() ?? Promise.resolve(),
     recordCanaryOutcome: canaries.recordCanaryOutcome,
     recordGuard: guards.recordGuard,
     leave: async () => registration?.leave(),
