fix(core): routers agree on the age of a roll-out by their steady clocks

Change: reports on a roll-out bear the age of the order by the sender's steady clock and whether it goes back to a router that saw the order without a record (a witness). Such an age is at most the true one, so the greatest holds; it replaces one from wall clocks, which never replaces a witnessed one. The record's age counts only when a router first hears of the order; adjustStart and its second go. While a router knows an age from wall clocks alone it ends no roll-out by the schedule for 2 s, so that a peer can correct it: a clock that is ahead would end it at once. A record in the future is no witness. A changed start is logged. Compatible: both fields are optional. Reports of the former build tell no age; it ignores ours. Where a few former routers gather the reports of a zone, they pass no age on, so until they are replaced the others keep what they knew at first, also a start under 1 s late that the former build would have taken from the record.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -216,7 +216,7 @@
   readonly canaryObserved: {
     readonly order: canaryState.RolloutOrder;
     readonly stage: canaryState.CanaryStage;
-    /** Time since any router first observed the order, in milliseconds. */
+    /** Time since any router first observed the order, by wall clocks, in milliseconds; 0 if it has no record yet. */
     readonly elapsedMs: number;
     /** True if the order may be the known one, written again under another revision after the store lost data. */
     readonly mayBeRewritten?: boolean;
--- a/packages/core/src/routed/canaryHandlers.ts
+++ b/packages/core/src/routed/canaryHandlers.ts
@@ -34,24 +34,16 @@
   canary: canaryState.Canary,
 ): number => countInFlight(current, canary.order, false);
 
-/** Longest time by which news of an order reach a router later than the first one, in milliseconds. */
-const MAX_NEWS_DELAY_MS = 1_000;
-
 /**
- * Moves the start of a known order to an earlier one that its record tells. A record that differs by more than news are
- * late is ignored: it holds wall-clock time, and that of its writer or this router may have been stepped.
+ * Adopts a roll-out order and the stage that is recorded for it in the store. The record's age counts only for an order
+ * that this router does not know yet: wall clocks may have been stepped, and peers tell the age by steady ones.
  */
-const adjustStart = (knownMs: number, recordedMs: number): number =>
-  knownMs - recordedMs > MAX_NEWS_DELAY_MS ? knownMs : Math.min(knownMs, recordedMs);
-
-/** Adopts a roll-out order and the stage that is recorded for it in the store. */
 const handleCanaryObserved = (
   current: routerState.RouterState,
   event: events.EventOf<'canaryObserved'>,
 ): transition.Transition => {
   const { order, stage, elapsedMs, withdrawn = [] } = event;
   const previous = current.routed.canaries.get(order.service);
-  const startedAtMs = event.nowMs - elapsedMs;
   const isSame =
     previous !== undefined &&
     (previous.order.revision === order.revision ||
@@ -67,9 +59,14 @@
           ...previous,
           order,
           stage: previous.stage === 'running' ? stage : previous.stage,
-          startedAtMs: adjustStart(previous.startedAtMs, startedAtMs),
         }
-      : canaryState.makeCanary(order, stage, startedAtMs, current.routed.settings.exposure);
+      : canaryState.makeCanary(
+          order,
+          stage,
+          event.nowMs - elapsedMs,
+          current.routed.settings.exposure,
+          elapsedMs === 0 ? null : event.nowMs,
+        );
   const merged = {
     ...next,
     withdrawn: Array.from(new Set([...known, ...withdrawn])).filter(
@@ -90,6 +87,30 @@
   });
 };
 
+/** Change of the start of a roll-out that is logged, in milliseconds; smaller ones are the time that reports take. */
+const LOGGED_CHANGE_MS = 100;
+
+/** Makes the log line of a start that a peer's report has changed; none for small changes. */
+const logStartChange = (
+  before: canaryState.Canary,
+  after: canaryState.Canary,
+  source: string,
+): readonly effects.EffectOf<'log'>[] => {
+  const laterMs = Math.round(after.startedAtMs - before.startedAtMs);
+  if (Math.abs(laterMs) < LOGGED_CHANGE_MS) {
+    return [];
+  }
+  const { service, to } = after.order;
+  const isWitnessed = after.unwitnessedSinceMs === null;
+  return [
+    {
+      type: 'log',
+      message: 'start of roll-out changed',
+      fields: { service, to, source, laterMs, isWitnessed },
+    },
+  ];
+};
+
 /** Merges a peer's report on the current order, and evaluates the canary again; ignores reports on other orders. */
 const handleCanaryReport = (
   current: routerState.RouterState,
@@ -99,8 +120,9 @@
   if (canary === undefined || canary.order.revision !== event.revision) {
     return transition.makeTransition(current);
   }
+  const aged = canaryState.mergeAge(canary, event, event.nowMs);
   const merged = canaryState.mergeReport(
-    canary,
+    aged,
     event.source,
     event.rows,
     event.oldRunning,
@@ -109,6 +131,7 @@
   );
   return transition.makeTransition(
     withCanary(current, event.isBad ? { ...merged, isBad: true } : merged),
+    ...logStartChange(canary, aged, event.source),
   );
 };
 
--- a/packages/core/src/routed/canaryReports.ts
+++ b/packages/core/src/routed/canaryReports.ts
@@ -21,6 +21,7 @@
   source: string,
   rows: readonly canaryEvidence.EvidenceRow[],
   oldRunning: number,
+  nowMs: number,
 ): canaryState.CanaryReport => ({
   source,
   service: canary.order.service,
@@ -28,6 +29,8 @@
   isBad: canary.isBad,
   rows,
   oldRunning,
+  ageMs: nowMs - canary.startedAtMs,
+  isWitnessed: canary.unwitnessedSinceMs === null,
 });
 
 const makeOwnReport = (
@@ -37,7 +40,8 @@
 ): canaryState.CanaryReport => {
   const { routerId } = current.self;
   const rows = canaryState.listRecentRows(canary, new Set([routerId]), REPORT_EPOCHS, nowMs);
-  return makeReport(canary, routerId, rows, canaryHandlers.countPreviousInFlight(current, canary));
+  const oldRunning = canaryHandlers.countPreviousInFlight(current, canary);
+  return makeReport(canary, routerId, rows, oldRunning, nowMs);
 };
 
 const isZoneSource = (source: string): boolean => source.startsWith(ZONE_SOURCE);
@@ -60,20 +64,21 @@
       canaryHandlers.countPreviousInFlight(current, canary),
     );
   const source = `${ZONE_SOURCE}${current.self.zone}`;
-  return makeReport(canary, source, canaryEvidence.mergeRows(rows), oldRunning);
+  return makeReport(canary, source, canaryEvidence.mergeRows(rows), oldRunning, nowMs);
 };
 
 /** Makes an aggregator's report to the routers of its zone: the counts of all routers without their evidence. */
 const makeCountsReport = (
   current: routerState.RouterState,
   canary: canaryState.Canary,
+  nowMs: number,
 ): canaryState.CanaryReport => {
   const oldRunning = canary.previousInFlight.reduce(
     (sum, report) => sum + report.count,
     canaryHandlers.countPreviousInFlight(current, canary),
   );
   const source = `${ZONE_SOURCE}${current.self.zone}`;
-  return { ...makeReport(canary, source, [], oldRunning), pooled: canary.pooled };
+  return { ...makeReport(canary, source, [], oldRunning, nowMs), pooled: canary.pooled };
 };
 
 /** Plans the reports of a large fleet: to the own zone's aggregators, and from them to those of other zones. */
@@ -99,7 +104,7 @@
   const toOtherZones = Array.from(zones)
     .flatMap((other) => evidenceRoles.listAggregators(current, other))
     .map((address) => ({ address, report }));
-  const counts = makeCountsReport(current, canary);
+  const counts = makeCountsReport(current, canary, nowMs);
   const toMembers = memberTable
     .listZoneMembers(current.members, zone)
     .map((member) => member.address)
--- a/packages/core/src/routed/canaryState.ts
+++ b/packages/core/src/routed/canaryState.ts
@@ -40,6 +40,11 @@
   readonly exposure: ExposureLimit;
   /** Time at which any router first saw the order, on this router's clock, in milliseconds. */
   readonly startedAtMs: number;
+  /**
+   * Time since which this router has known the start from wall clocks alone, in milliseconds; null if a router whose
+   * steady clock has run since it saw the order without a record is known to confirm it.
+   */
+  readonly unwitnessedSinceMs: number | null;
   /** True once this router or a peer has found the version bad. */
   readonly isBad: boolean;
   /** Versions that earlier roll-outs of the service have rolled back; no request runs on them. */
@@ -74,6 +79,10 @@
   readonly oldRunning: number;
   /** Answers of all routers, for a router that does not get the evidence; null in other reports. */
   readonly pooled?: Omit<PooledCounts, 'atMs'> | null;
+  /** Age of the order by the steady clock of the sender, in milliseconds; the former build tells none. */
+  readonly ageMs?: number;
+  /** True if that age goes back to a router that saw the order without a record, and so to no wall clock. */
+  readonly isWitnessed?: boolean;
 }
 
 /** Number of requests in flight on the versions that a roll-out replaces, with the time of the report. */
@@ -136,6 +145,11 @@
 const MIN_EXPECTED_ANSWERS = 5;
 /** Age above which a report of requests in flight on the previous versions is ignored, in milliseconds. */
 const IDLE_REPORT_MS = 2_500;
+/**
+ * Time within which a router that knows the age of an order from wall clocks alone ends no roll-out by its schedule, in
+ * milliseconds; a peer that knows better has reported several times by then.
+ */
+const WITNESS_WAIT_MS = 2_000;
 
 /** Makes the state of the canary for an order, without evidence. */
 export const makeCanary = (
@@ -143,11 +157,13 @@
   stage: CanaryStage,
   startedAtMs: number,
   exposure: ExposureLimit,
+  unwitnessedSinceMs: number | null = null,
 ): Canary => ({
   order,
   stage,
   exposure,
   startedAtMs,
+  unwitnessedSinceMs,
   isBad: false,
   withdrawn: [],
   rows: immutable.Map(),
@@ -329,6 +345,26 @@
   previousInFlight: canary.previousInFlight.set(source, { count: inFlightCount, atMs: nowMs }),
 });
 
+/**
+ * Merges the age of the order that a peer tells. Each age that a steady clock has counted is at most the true one, so the
+ * greater one holds; one that goes back to wall clocks may be too great, and yields to any that does not.
+ */
+export const mergeAge = (
+  canary: Canary,
+  told: Pick<CanaryReport, 'ageMs' | 'isWitnessed'>,
+  nowMs: number,
+): Canary => {
+  const isOwnWitnessed = canary.unwitnessedSinceMs === null;
+  const isToldWitnessed = told.isWitnessed === true;
+  if (told.ageMs === undefined || (isOwnWitnessed && !isToldWitnessed)) {
+    return canary;
+  }
+  const toldStartMs = nowMs - told.ageMs;
+  return isToldWitnessed && !isOwnWitnessed
+    ? { ...canary, startedAtMs: toldStartMs, unwitnessedSinceMs: null }
+    : { ...canary, startedAtMs: Math.min(canary.startedAtMs, toldStartMs) };
+};
+
 /** Lists the rows of the last epochs from some sources, which peers may not have received yet. */
 export const listRecentRows = (
   canary: Canary,
@@ -375,6 +411,10 @@
   return answers * canary.exposure.share * CANARY_PART >= MIN_EXPECTED_ANSWERS;
 };
 
+/** Returns whether a peer may still tell that the age of the order, known from wall clocks alone, is another. */
+const mayAgeBeCorrected = (canary: Canary, nowMs: number): boolean =>
+  canary.unwitnessedSinceMs !== null && nowMs - canary.unwitnessedSinceMs < WITNESS_WAIT_MS;
+
 /**
  * Returns the outcome with which a running canary should end now, or null while it continues. At the end of the period
  * the version that is more likely bad than not is rolled back, and so is one that could not be tried: that costs a
@@ -394,6 +434,9 @@
   if (canary.isBad) {
     return 'rolledBack';
   }
+  if (mayAgeBeCorrected(canary, nowMs)) {
+    return null;
+  }
   const progress = computeProgress(canary, nowMs);
   const remainingMs = (1 - progress) * canary.order.periodMs;
   const canStopPrevious =
--- a/packages/router/__tests__/canaryRecords.spec.ts
+++ b/packages/router/__tests__/canaryRecords.spec.ts
@@ -64,3 +64,30 @@
   const written = transactions[0]?.puts?.find(({ key }) => key === RECORD_KEY);
   t.deepEqual(JSON.parse(written?.value ?? '{}').withdrawn, ['v2']);
 });
+
+test('the age in a record is no witness of an order, though the wall clock is behind', (t) => {
+  const store = {
+    commit: () => Promise.resolve(shared.outcome.makeOk({ isCommitted: true, revision: 1 })),
+  } as unknown as stores.prefixStore.PrefixStore;
+  const isWitnessed = (recordedAtMs: number | null): boolean => {
+    const runtime = routerRuntime.makeRuntime(
+      core.routerState.makeState({
+        routerId: 'a',
+        zone: 'a',
+        address: '127.0.0.1:1',
+        ledgerCapacity: 10,
+      }),
+    );
+    const records = canaryRecords.makeCanaryRecords(runtime, store, pino.pino({ level: 'silent' }));
+    if (recordedAtMs !== null) {
+      const record = { to: 'v2', orderRevision: 40, startedAtMs: recordedAtMs, stage: 'running' };
+      records.handleRecord(RECORD_KEY, JSON.stringify(record), 50);
+    }
+    const order = JSON.stringify({ service: 'desk', to: 'v2', period_s: 10 });
+    records.handleOrder(ORDER_KEY, order, 40);
+    return runtime.getState().routed.canaries.get('desk')?.unwitnessedSinceMs === null;
+  };
+  t.true(isWitnessed(null));
+  t.false(isWitnessed(Date.now() - 2_000));
+  t.false(isWitnessed(Date.now() + 60_000));
+});
--- a/packages/router/src/routed/canaryRecords.ts
+++ b/packages/router/src/routed/canaryRecords.ts
@@ -40,6 +40,9 @@
 /** Time after the store has gone back to a copy within which an equal order is the known one, in milliseconds. */
 const REWRITE_MS = 5_000;
 
+/** Least age of an order that has a record, in milliseconds; a wall clock that is behind does not make it a new one. */
+const MIN_RECORDED_AGE_MS = 1;
+
 interface StoredRecord {
   readonly record: CanaryRecord;
   readonly revision: number;
@@ -106,7 +109,9 @@
       stage: isSameOrder && stored !== undefined ? stored.stage : 'running',
       withdrawn: listWithdrawn(stored, order),
       elapsedMs:
-        isSameOrder && stored !== undefined ? Math.max(0, Date.now() - stored.startedAtMs) : 0,
+        isSameOrder && stored !== undefined
+          ? Math.max(MIN_RECORDED_AGE_MS, Date.now() - stored.startedAtMs)
+          : 0,
     });
   };
   /** Writes the record of an order as far as this router knows it, unless there is one of the same or a later stage. */
