fix(router): time-outs that are due run ahead of the work that waits in the barrier

Callers could see: requests held past their route's time-out while the router was overloaded, although the time-out had fired. Cause: a time-out needs one poll, so that an answer that had arrived prevents it. It got this from inputBarrier's only queue, behind all admissions and sends that had come before it; that queue is worked off for 20 ms a turn and has no age. Change: the barrier has a second entry, runDue, for work that ends a wait. It runs right after the poll that began after the call, ahead of the queue and without its slice; the attempts that it starts wait in the queue with their slice. Time-outs of requests (routedTimeout, queueDeadline, on both interfaces) and of attempts that were sent use it. Hedges, retries, admissions, sends and new connections stay in the queue: they start work. So does the time-out of an attempt that was not sent, since its new connection may wait there. The time-out of an attempt begins when its send leaves the queue: it began before, so that an upstream that had no time to answer counted as silent, and would have done so more often with this change.

--- a/packages/router/__tests__/heldConfirmations.spec.ts
+++ b/packages/router/__tests__/heldConfirmations.spec.ts
@@ -31,6 +31,7 @@
   let sends = 0;
   const barrier: inputBarrier.InputBarrier = {
     run: (work) => works.push(work),
+    runDue: (work) => works.push(work),
     recordConnection: () => undefined,
     stop: () => undefined,
   };
--- a/packages/router/__tests__/inputBarrier.spec.ts
+++ b/packages/router/__tests__/inputBarrier.spec.ts
@@ -76,3 +76,25 @@
     t.true(ranAfterMs < 100);
   },
 );
+
+test.serial('due work runs after the next poll, ahead of work and of what it starts', async (t) => {
+  const barrier = inputBarrier.makeInputBarrier();
+  const [near, far, server] = await openPair();
+  const order: string[] = [];
+  for (let index = 0; index < 2; index += 1) {
+    barrier.run(() => {
+      blockLoop(30);
+      order.push(`work ${index}`);
+    });
+  }
+  far.once('end', () => order.push('close'));
+  near.end();
+  barrier.runDue(() => {
+    order.push('due');
+    barrier.run(() => order.push('started'));
+  });
+  barrier.runDue(() => order.push('due'));
+  await shared.delay.wait(150);
+  t.deepEqual(order, ['close', 'due', 'due', 'work 0', 'work 1', 'started']);
+  server.close();
+});
--- a/packages/router/__tests__/routedAttempt.spec.ts
+++ b/packages/router/__tests__/routedAttempt.spec.ts
@@ -4,7 +4,7 @@
 import test from 'ava';
 import * as shared from '@jayrock/shared';
 import type * as undici from 'undici';
-import type * as inputBarrier from '../src/eventLoop/inputBarrier.js';
+import * as inputBarrier from '../src/eventLoop/inputBarrier.js';
 import type * as pendingRoutedRequest from '../src/routed/pendingRoutedRequest.js';
 import * as routedAttempt from '../src/routed/routedAttempt.js';
 import * as bufferBudget from '../src/upstreams/bufferBudget.js';
@@ -59,10 +59,24 @@
 /** A barrier that runs all work at once. */
 const IMMEDIATE_BARRIER: inputBarrier.InputBarrier = {
   run: (work) => work(),
+  runDue: (work) => work(),
   recordConnection: () => undefined,
   stop: () => undefined,
 };
 
+/** Time for which the work that is added to a barrier runs, in milliseconds. */
+const WORK_MS = 600;
+const TURN_MS = 20;
+
+const addWork = (barrier: inputBarrier.InputBarrier): void => {
+  Array.from({ length: WORK_MS / TURN_MS }, () =>
+    barrier.run(() => {
+      const endMs = performance.now() + TURN_MS;
+      while (performance.now() < endMs);
+    }),
+  );
+};
+
 const makePending = (): pendingRoutedRequest.PendingRoutedRequest => ({
   id: 'a',
   callerRequestId: 'a',
@@ -87,6 +101,7 @@
   detectOverdue: () => string | null = () => null,
   isStream = false,
   headTimeoutMs = Infinity,
+  barrier = IMMEDIATE_BARRIER,
   confirmUpstreams: () => Promise<void> | null = () => null,
 ): {
   readonly running: pendingRoutedRequest.RunningAttempt;
@@ -97,7 +112,7 @@
   const ends: routedAttempt.StreamSummary[] = [];
   const running = routedAttempt.startRoutedAttempt(
     pools,
-    IMMEDIATE_BARRIER,
+    barrier,
     {
       pending: makePending(),
       attemptId: 1,
@@ -195,6 +210,7 @@
     () => state,
     false,
     Infinity,
+    IMMEDIATE_BARRIER,
     () =>
       new Promise<void>((resolve) => {
         confirm = resolve;
@@ -213,3 +229,41 @@
     [{ failure: 'overdue', isUnsent: true, reason: 'upstreamLeft' }],
   );
 });
+
+// The time-out began while the request waited to be sent, so an upstream that had no time to answer counted as silent.
+test.serial(
+  'the time for which an attempt waits to be sent is not part of its time-out',
+  async (t) => {
+    const { pools, open } = makePools();
+    const barrier = inputBarrier.makeInputBarrier();
+    addWork(barrier);
+    const { failures } = startAttempt(pools, () => null, false, WORK_MS / 2, barrier);
+    await new Promise<void>((resolve) => {
+      barrier.run(resolve);
+    });
+    t.is(open(), null);
+    await shared.delay.wait(TURN_MS);
+    t.deepEqual(failures, []);
+    barrier.stop();
+  },
+);
+
+test.serial(
+  'the time-out of an attempt that was sent does not wait for work in the barrier',
+  async (t) => {
+    const { pools, open } = makePools();
+    const barrier = inputBarrier.makeInputBarrier();
+    const { failures } = startAttempt(pools, () => null, false, WORK_MS / 6, barrier);
+    await new Promise<void>((resolve) => {
+      barrier.run(resolve);
+    });
+    t.is(open(), null);
+    addWork(barrier);
+    await shared.delay.wait(WORK_MS / 2);
+    t.deepEqual(
+      failures.map(({ failure }) => failure),
+      ['silent'],
+    );
+    barrier.stop();
+  },
+);
--- a/packages/router/src/effectRunners.ts
+++ b/packages/router/src/effectRunners.ts
@@ -13,6 +13,7 @@
 import type * as pendingRequest from './pendingRequest.js';
 import type * as routerRuntime from './routerRuntime.js';
 import type * as serviceLevels from './serviceLevels.js';
+import * as timerEvents from './timerEvents.js';
 import type * as connectionPools from './upstreams/connectionPools.js';
 import * as attemptRunner from './upstreams/attemptRunner.js';
 import type * as interTokenMonitor from './upstreams/interTokenMonitor.js';
@@ -216,12 +217,8 @@
   finishAnswer: (effect) =>
     withPending(context, effect.requestId, (pending) => finishAnswer(context, pending, effect)),
   armTimer: (effect) => {
-    // An answer that had arrived in time is read before its request expires.
     setTimeout(
-      () =>
-        context.barrier.run(() =>
-          context.runtime.dispatch({ type: 'timerFired', timer: effect.timer }),
-        ),
+      () => timerEvents.dispatchTimer(context.barrier, context.runtime, effect.timer),
       effect.delayMs,
     ).unref();
   },
--- a/packages/router/src/routed/routedAttempt.ts
+++ b/packages/router/src/routed/routedAttempt.ts
@@ -217,7 +217,11 @@
           abortAndFail('silent', `no answer within ${Math.round(timeoutMs)} ms`);
         }
       };
-      timer = setTimeout(() => barrier.run(handleTimeout), timeoutMs);
+      // What was not sent may wait for its new connection in the barrier.
+      timer = setTimeout(
+        () => (isStarted ? barrier.runDue(handleTimeout) : barrier.run(handleTimeout)),
+        timeoutMs,
+      );
     }
   };
   /**
@@ -439,6 +443,8 @@
     if (isCancelled || isClosed || failIfOverdue()) {
       return;
     }
+    // The time that the attempt waited in the barrier is not the upstream's.
+    restartTimeout(send.headTimeoutMs);
     pools.get(attempt.address).dispatch(
       {
         method: pending.method,
@@ -482,24 +488,15 @@
     );
   };
 
-  /** Sends the request, or confirms the list of upstreams first; the time-out is the upstream's, so it waits for that. */
+  /** Sends the request, or confirms the list of upstreams first. */
   const sendConfirmed = (): void => {
     const confirmation = listener.confirmUpstreams();
     if (confirmation === null) {
       sendRequest();
-      return;
+    } else {
+      confirmation.then(() => barrier.run(sendRequest)).catch(handleError);
     }
-    stopTimer();
-    confirmation
-      .then(() => {
-        if (!isCancelled && !isClosed) {
-          restartTimeout(send.headTimeoutMs);
-          barrier.run(sendRequest);
-        }
-      })
-      .catch(handleError);
   };
-  restartTimeout(send.headTimeoutMs);
   barrier.run(sendConfirmed);
   return {
     cancel: () => {
--- a/packages/router/src/routed/routedRunners.ts
+++ b/packages/router/src/routed/routedRunners.ts
@@ -5,6 +5,7 @@
 import type * as loopMonitor from '../eventLoop/loopMonitor.js';
 import type * as peerService from '../peers/peerService.js';
 import type * as routerRuntime from '../routerRuntime.js';
+import * as timerEvents from '../timerEvents.js';
 import * as attemptFailure from '../upstreams/attemptFailure.js';
 import type * as connectionPools from '../upstreams/connectionPools.js';
 import * as upstreamNotices from '../upstreams/upstreamNotices.js';
@@ -251,9 +252,7 @@
     timer.kind === 'routedTimeout'
       ? timeoutLead.computeTimeoutLeadMs(delayMs, context.loop.getRecentTurnMs())
       : 0;
-  const fire = (): void =>
-    // An answer that had arrived in time is read before its request expires.
-    context.barrier.run(() => context.runtime.dispatch({ type: 'timerFired', timer }));
+  const fire = (): void => timerEvents.dispatchTimer(context.barrier, context.runtime, timer);
   setTimeout(() => {
     if (leadMs > 0 && context.pending.get(timer.requestId)?.isHeadWritten === true) {
       setTimeout(fire, leadMs).unref();
