fix(router): a router that starts asks the peers that it knows already for their table too

Callers could see: a key that was withdrawn is usable again at a router that starts while the store comes back from an older copy. Cause: fetchPeerRoutes asked the seed addresses at which no member was known. Peers probe these every second, so a router whose start lasts, because the store is away, has made all of them known by the time it reads; it asked nobody and took the copy. Change: it asks among active members and seed addresses alike (memberTable.listPeerAddresses), still three at random. Evidence: peerRoutes.spec's case with known members failed before (no table) and passes; the first case of restoredStart.spec, of a start while the store is away, failed before (200 throughout, 57 calls) and passes (two runs). The second case, of a router without peers, has another cause and fails as before. restoredStore.spec and startingRouter.spec pass (one run each).

--- a/packages/core/src/membership/memberTable.ts
+++ b/packages/core/src/membership/memberTable.ts
@@ -166,3 +166,10 @@
     (address) => address !== table.self.address && !activeAddresses.has(address),
   );
 };
+
+/** Lists the addresses at which other routers listen, or may listen: those of active members and all seed addresses. */
+export const listPeerAddresses = (table: MemberTable): readonly string[] =>
+  listActiveMembers(table)
+    .map((peer) => peer.address)
+    .filter((address) => address !== table.self.address)
+    .concat(listUnknownSeedAddresses(table));
--- a/packages/router/src/routed/peerRoutes.ts
+++ b/packages/router/src/routed/peerRoutes.ts
@@ -10,14 +10,15 @@
 
 /**
  * Adopts the newest table of routes that a few peers have. The store may have gone back to an older copy, which a router
- * that starts cannot see; routers that run keep the newer table.
+ * that starts cannot see; routers that run keep the newer table, and may have made themselves known before the store
+ * answers.
  */
 export const fetchPeerRoutes = async (
   runtime: routerRuntime.Runtime,
   client: rpcClient.RpcClient,
 ): Promise<void> => {
   const addresses = core.memberTable
-    .listUnknownSeedAddresses(runtime.getState().members)
+    .listPeerAddresses(runtime.getState().members)
     .map((address) => ({ address, order: Math.random() }))
     .toSorted((a, b) => a.order - b.order)
     .slice(0, PEER_COUNT);
