fix(core): an order of a roll-out is told apart by its version too, since revisions are given out again

Callers could see: a version that takes all requests untried, or none, after the store went back to an older copy. Cause: orders, the records of their outcome and the reports of peers were matched by the revision of the order alone. After the store went back, the revisions above the copy's are given out again, so that an order for v3 was taken for a completed or rolled-back one for v2, and a peer's finding on v2 counted against v3. Change: one question (canaryState.isSameOrder) asks for version, period and revision, or for version and period alone while an order may have been written again; it replaces isEqualOrder. Records are matched by their version and revision. Reports bear the version (optional field). Evidence: reusedRevisions.spec's case of orders failed before (completed instead of running) and passes. Its new case of reports and that of a record in canaryRecords.spec fail with the former matching and pass. canaryRecords.spec's two former tests use the same fixture now; what they check is unchanged. Not covered: an order equal in version, period and revision to one of the former history is taken for the same. Former builds: records are as before; a report without version means what it did, and a former build ignores the field. While former builds run they may still write the outcome of the former order into the record, which new ones then read.

--- a/packages/core/__tests__/reusedRevisions.spec.ts
+++ b/packages/core/__tests__/reusedRevisions.spec.ts
@@ -44,3 +44,21 @@
     t.is(getCanary(driver)?.stage, 'running', stage);
   });
 });
+
+test('a report on another order of the same revision is ignored, and one that names no version is not', (t) => {
+  const driver = makeRouter('completed');
+  sendOrder(driver, 'v3', REVISION, 'running', 12_000);
+  const report = {
+    type: 'canaryReportReceived',
+    source: 'r-2',
+    service: 'desk',
+    revision: REVISION,
+    isBad: true,
+    rows: [],
+    oldRunning: 0,
+  } as const;
+  driver.send({ ...report, to: 'v2' }, 12_100);
+  t.false(getCanary(driver)?.isBad);
+  driver.send(report, 12_200);
+  t.true(getCanary(driver)?.isBad);
+});
--- a/packages/core/src/routed/canaryHandlers.ts
+++ b/packages/core/src/routed/canaryHandlers.ts
@@ -46,8 +46,7 @@
   const previous = current.routed.canaries.get(order.service);
   const isSame =
     previous !== undefined &&
-    (previous.order.revision === order.revision ||
-      (event.mayBeRewritten === true && canaryState.isEqualOrder(previous.order, order)));
+    canaryState.isSameOrder(previous.order, order, event.mayBeRewritten === true);
   const known =
     previous === undefined || isSame
       ? (previous?.withdrawn ?? [])
@@ -111,13 +110,18 @@
   ];
 };
 
+const isReportOn = (
+  { revision, to }: canaryState.CanaryReport,
+  order: canaryState.RolloutOrder,
+): boolean => revision === order.revision && (to === undefined || to === order.to);
+
 /** Merges a peer's report on the current order, and evaluates the canary again; ignores reports on other orders. */
 const handleCanaryReport = (
   current: routerState.RouterState,
   event: events.EventOf<'canaryReportReceived'>,
 ): transition.Transition => {
   const canary = current.routed.canaries.get(event.service);
-  if (canary === undefined || canary.order.revision !== event.revision) {
+  if (canary === undefined || !isReportOn(event, canary.order)) {
     return transition.makeTransition(current);
   }
   const aged = canaryState.mergeAge(canary, event, event.nowMs);
--- a/packages/core/src/routed/canaryReports.ts
+++ b/packages/core/src/routed/canaryReports.ts
@@ -26,6 +26,7 @@
   source,
   service: canary.order.service,
   revision: canary.order.revision,
+  to: canary.order.to,
   isBad: canary.isBad,
   rows,
   oldRunning,
--- a/packages/core/src/routed/canaryState.ts
+++ b/packages/core/src/routed/canaryState.ts
@@ -7,7 +7,10 @@
   readonly to: string;
   /** Time within which the roll-out should complete, in milliseconds. */
   readonly periodMs: number;
-  /** Revision of the order in the store; distinguishes two orders for the same version. */
+  /**
+   * Revision of the order in the store; distinguishes two orders for the same version. It may be given out again after
+   * the store has gone back to an older copy, so it does not tell orders apart alone.
+   */
   readonly revision: number;
 }
 
@@ -73,6 +76,8 @@
   readonly source: string;
   readonly service: string;
   readonly revision: number;
+  /** Version that is ordered; reports of the former build have none. */
+  readonly to?: string;
   readonly isBad: boolean;
   readonly rows: readonly canaryEvidence.EvidenceRow[];
   /** Requests in flight on the versions that the roll-out replaces. */
@@ -188,9 +193,12 @@
     .slice(-MAX_WITHDRAWN);
 };
 
-/** Returns whether two orders ask for the same, whatever their revisions. */
-export const isEqualOrder = (a: RolloutOrder, b: RolloutOrder): boolean =>
-  a.service === b.service && a.to === b.to && a.periodMs === b.periodMs;
+/** Returns whether two orders are the same; their revisions may differ if one may have been written again. */
+export const isSameOrder = (a: RolloutOrder, b: RolloutOrder, mayBeRewritten = false): boolean =>
+  a.service === b.service &&
+  a.to === b.to &&
+  a.periodMs === b.periodMs &&
+  (mayBeRewritten || a.revision === b.revision);
 
 /** Computes the elapsed part of the period, from 0; above 1 after its end. */
 const computeProgress = (canary: Canary, nowMs: number): number =>
--- a/packages/router/__tests__/canaryRecords.spec.ts
+++ b/packages/router/__tests__/canaryRecords.spec.ts
@@ -13,7 +13,14 @@
 const makeRecord = (to: string, orderRevision: number, stage: string): string =>
   JSON.stringify({ to, orderRevision, startedAtMs: Date.now(), stage });
 
-test('the record of a later order stays if it arrives before the order', async (t) => {
+interface Recorder {
+  readonly records: canaryRecords.CanaryRecords;
+  readonly runtime: routerRuntime.Runtime;
+  readonly transactions: readonly stores.keyValueStore.Transaction[];
+}
+
+/** Makes records of a router whose store takes every transaction. */
+const makeRecorder = (): Recorder => {
   const transactions: stores.keyValueStore.Transaction[] = [];
   const store = {
     commit: async (transaction: stores.keyValueStore.Transaction) => {
@@ -30,9 +37,21 @@
     }),
   );
   const records = canaryRecords.makeCanaryRecords(runtime, store, pino.pino({ level: 'silent' }));
-  const order = JSON.stringify({ service: 'desk', to: 'v2', period_s: 10 });
+  return { records, runtime, transactions };
+};
+
+const makeOrder = (to: string): string => JSON.stringify({ service: 'desk', to, period_s: 10 });
+
+/** Returns the record that a transaction writes. */
+const getRecord = (
+  transaction: stores.keyValueStore.Transaction | undefined,
+): Readonly<Record<string, unknown>> =>
+  JSON.parse(transaction?.puts?.find(({ key }) => key === RECORD_KEY)?.value ?? '{}');
+
+test('the record of a later order stays if it arrives before the order', async (t) => {
+  const { records, transactions } = makeRecorder();
   records.handleRecord(RECORD_KEY, makeRecord('v2', 40, 'completed'), 50);
-  records.handleOrder(ORDER_KEY, order, 40);
+  records.handleOrder(ORDER_KEY, makeOrder('v2'), 40);
   records.handleRecord(RECORD_KEY, makeRecord('v3', 60, 'running'), 70);
   await shared.delay.wait(10);
   t.is(transactions.length, 0);
@@ -40,29 +59,26 @@
 
 // The record of the next order replaced the one that told that a version was rolled back.
 test('the record of an order keeps the versions that earlier ones have rolled back', async (t) => {
-  const transactions: stores.keyValueStore.Transaction[] = [];
-  const store = {
-    commit: async (transaction: stores.keyValueStore.Transaction) => {
-      transactions.push(transaction);
-      return shared.outcome.makeOk({ isCommitted: true, revision: 1 });
-    },
-  } as unknown as stores.prefixStore.PrefixStore;
-  const runtime = routerRuntime.makeRuntime(
-    core.routerState.makeState({
-      routerId: 'a',
-      zone: 'a',
-      address: '127.0.0.1:1',
-      ledgerCapacity: 10,
-    }),
-  );
-  const records = canaryRecords.makeCanaryRecords(runtime, store, pino.pino({ level: 'silent' }));
+  const { records, runtime, transactions } = makeRecorder();
   // The former build writes no such field.
   records.handleRecord(RECORD_KEY, makeRecord('v2', 40, 'rolledBack'), 50);
-  records.handleOrder(ORDER_KEY, JSON.stringify({ service: 'desk', to: 'v3', period_s: 10 }), 60);
+  records.handleOrder(ORDER_KEY, makeOrder('v3'), 60);
   await shared.delay.wait(10);
   t.deepEqual(runtime.getState().routed.canaries.get('desk')?.withdrawn, ['v2']);
-  const written = transactions[0]?.puts?.find(({ key }) => key === RECORD_KEY);
-  t.deepEqual(JSON.parse(written?.value ?? '{}').withdrawn, ['v2']);
+  t.deepEqual(getRecord(transactions[0]).withdrawn, ['v2']);
+});
+
+// Revisions are given out again after the store has gone back to an older copy.
+test('an order does not take over the outcome in the record of another one that had its revision', async (t) => {
+  const { records, runtime, transactions } = makeRecorder();
+  records.handleRecord(RECORD_KEY, makeRecord('v2', 60, 'rolledBack'), 70);
+  records.handleOrder(ORDER_KEY, makeOrder('v3'), 60);
+  await shared.delay.wait(10);
+  const canary = runtime.getState().routed.canaries.get('desk');
+  t.is(canary?.stage, 'running');
+  t.deepEqual(canary?.withdrawn, ['v2']);
+  const { to, stage, withdrawn } = getRecord(transactions[0]);
+  t.deepEqual({ to, stage, withdrawn }, { to: 'v3', stage: 'running', withdrawn: ['v2'] });
 });
 
 test('the age in a record is no witness of an order, though the wall clock is behind', (t) => {
--- a/packages/router/src/routed/canaryRecords.ts
+++ b/packages/router/src/routed/canaryRecords.ts
@@ -56,6 +56,14 @@
   }
 };
 
+/** Returns whether a record is that of an order; the revision of the order may differ if it may have been written again. */
+const isRecordOf = (
+  record: CanaryRecord | undefined,
+  { to, revision }: core.canaryState.RolloutOrder,
+  mayBeRewritten = false,
+): record is CanaryRecord =>
+  record?.to === to && (mayBeRewritten || record.orderRevision === revision);
+
 /** Lists the versions that the record of a service withdraws for an order. */
 const listWithdrawn = (
   record: CanaryRecord | undefined,
@@ -100,28 +108,24 @@
   /** Dispatches an order with the stage and the elapsed time of its record; running from now if there is no record. */
   const reportStage = (order: core.canaryState.RolloutOrder): void => {
     const stored = records.get(order.service)?.record;
-    const isSameOrder =
-      stored?.orderRevision === order.revision || (mayBeRewritten() && stored?.to === order.to);
+    const known = isRecordOf(stored, order, mayBeRewritten()) ? stored : null;
     runtime.dispatch({
       type: 'canaryObserved',
       order,
       mayBeRewritten: mayBeRewritten(),
-      stage: isSameOrder && stored !== undefined ? stored.stage : 'running',
+      stage: known?.stage ?? 'running',
       withdrawn: listWithdrawn(stored, order),
-      elapsedMs:
-        isSameOrder && stored !== undefined
-          ? Math.max(MIN_RECORDED_AGE_MS, Date.now() - stored.startedAtMs)
-          : 0,
+      elapsedMs: known === null ? 0 : Math.max(MIN_RECORDED_AGE_MS, Date.now() - known.startedAtMs),
     });
   };
   /** Writes the record of an order as far as this router knows it, unless there is one of the same or a later stage. */
   const createRecord = (order: core.canaryState.RolloutOrder): void => {
     const stored = records.get(order.service);
     const canary = runtime.getState().routed.canaries.get(order.service);
-    const isKnown = canary?.order.revision === order.revision;
+    const isKnown = canary !== undefined && core.canaryState.isSameOrder(canary.order, order);
     const stage = isKnown ? canary.stage : 'running';
     if (
-      stored?.record.orderRevision === order.revision &&
+      isRecordOf(stored?.record, order) &&
       (stage === 'running' || stored.record.stage !== 'running')
     ) {
       return;
@@ -143,7 +147,7 @@
   /** Writes the record of an order if the store lacks it or has it in an earlier stage; leaves those of other orders. */
   const completeRecord = (order: core.canaryState.RolloutOrder): void => {
     const stored = records.get(order.service);
-    if (stored === undefined || stored.record.orderRevision === order.revision) {
+    if (stored === undefined || isRecordOf(stored.record, order)) {
       createRecord(order);
     }
   };
@@ -166,7 +170,7 @@
     // The record in memory may be outdated, because the response to a write can be lost.
     await refreshRecord(order.service);
     const stored = records.get(order.service);
-    if (stored?.record.orderRevision !== order.revision) {
+    if (stored === undefined || !isRecordOf(stored.record, order)) {
       createRecord(order);
       return;
     }
