--- a/packages/router/__tests__/relays.spec.ts
+++ b/packages/router/__tests__/relays.spec.ts
@@ -3,6 +3,7 @@
 import type * as ava from 'ava';
 import test from 'ava';
 import * as pino from 'pino';
+import * as shared from '@jayrock/shared';
 import * as relayClient from '../src/relays/relayClient.js';
 import * as relayEnd from '../src/relays/relayEnd.js';
 import * as relayServer from '../src/relays/relayServer.js';
@@ -26,17 +27,21 @@
   readonly ends: relayEnd.RelayEnds;
   /** Cuts the relay as the stop of its router does. */
   readonly close: () => void;
+  /** Stops the router that offers the relay once it has drained its relays; resolves when it is gone. */
+  readonly stop: () => Promise<void>;
   /** Ends the connections of the relaying router as the kernel does for a process that was killed. */
   readonly kill: () => void;
   /** Resolves once the relay has ended, to whether its end is confirmed; a reset never is. */
   readonly readEnd: () => Promise<boolean>;
 }
 
-/** Opens a relay; a router of the former build knows no ends. */
+/** Opens a relay; a router of the former build knows no ends. Its peer's question takes a time in milliseconds. */
 const openRelay = async (
   t: ava.ExecutionContext,
   build: 'current' | 'former' = 'current',
+  askMs = 0,
 ): Promise<OpenRelay> => {
+  let isGone = false;
   const sockets = new Set<net.Socket>();
   const upstreams: net.Socket[] = [];
   const upstreamServer = net.createServer((socket) => {
@@ -60,8 +65,10 @@
   });
   const peer = await listen(server);
   const open = relayClient.makeRelayClient(SECRET, LOCAL, {
-    call: (async (_: string, __: string, { relayId }: { readonly relayId: string }) =>
-      build === 'former' ? null : { bytes: ends.find(relayId) }) as never,
+    call: (async (_: string, __: string, { relayId }: { readonly relayId: string }) => {
+      await shared.delay.wait(askMs);
+      return build === 'former' || isGone ? null : { bytes: ends.find(relayId) };
+    }) as never,
   });
   const socket = await open(peer, 'u');
   let isReset = false;
@@ -91,6 +98,10 @@
     upstream,
     ends,
     close: relays.close,
+    stop: async () => {
+      await relays.drain(() => false);
+      isGone = true;
+    },
     kill: () => sockets.forEach((item) => item.destroy()),
     readEnd: async () => {
       await new Promise((resolve) => {
@@ -123,6 +134,14 @@
   t.false(await end);
 });
 
+test('a router that stops still tells a busy peer the end of an answer that it passed on', async (t) => {
+  const relay = await openRelay(t, 'current', 250);
+  const end = relay.readEnd();
+  relay.upstream.end();
+  await relay.stop();
+  t.true(await end);
+});
+
 test('a router that stops resets its relays, which every build can tell from an end', async (t) => {
   const relay = await openRelay(t, 'former');
   const error = new Promise<NodeJS.ErrnoException>((resolve) => {
