fix(router): an answer that has begun ends by the latest arrival of its request

Callers saw: an answer that had begun was cut by `deadlineExceeded` up to half a second (with long turns, more) before its time-out had passed since it was sent.

Cause: the time at which a request arrived is known only within limits. The router kept the earliest one, which is safe for sends and refusals, and used it for the end of an answer too, where it is not safe.

Change: the intake gives an interval: half a second either side of the estimate, not before the run and not after the acceptance (the estimate itself is now at most the acceptance). For other input it is the age that the loop knows. Followed connections keep its width with each request as it is read. A timer of a route's time-out whose answer has begun waits for the lead and this width. `request refused` logs the width as `doubtMs`. Messages and stored forms do not change.

A new test of connectionIntake.spec.ts checks the latest arrival; the fixture reads both ends, the assertions on the earliest are as they were.

--- a/packages/router/__tests__/connectionIntake.spec.ts
+++ b/packages/router/__tests__/connectionIntake.spec.ts
@@ -11,17 +11,25 @@
   readonly resume: () => void;
 }
 
+interface TakenFixture {
+  readonly name: string;
+  /** Longest time for which the connection can have waited, in milliseconds. */
+  readonly waitedMs: number;
+  /** Shortest time for which the connection can have waited, in milliseconds. */
+  readonly leastMs: number;
+}
+
 interface IntakeFixture {
   /** Accepts connections in turns that follow each other. */
   readonly accept: (...names: readonly string[]) => void;
-  readonly taken: { readonly name: string; readonly waitedMs: number }[];
+  readonly taken: TakenFixture[];
   readonly intake: connectionIntake.ConnectionIntake;
 }
 
 /** Makes an intake whose loop read its input after a time in milliseconds. */
 const makeFixture = (inputAgeMs: number): IntakeFixture => {
   let turn = 0;
-  const taken: { name: string; waitedMs: number }[] = [];
+  const taken: TakenFixture[] = [];
   const intake = connectionIntake.makeConnectionIntake(
     {
       takeMaxTurnMs: () => 0,
@@ -38,10 +46,11 @@
   server.removeAllListeners('connection');
   intake.guard(server, {
     handleAccepted: () => undefined,
-    handleTaken: ({ socket, arrivedAtMs }) =>
+    handleTaken: ({ socket, arrival }) =>
       taken.push({
         name: (socket as unknown as FakeSocket).name,
-        waitedMs: performance.now() - arrivedAtMs,
+        waitedMs: performance.now() - arrival.earliestMs,
+        leastMs: performance.now() - arrival.latestMs,
       }),
   });
   return {
@@ -101,3 +110,15 @@
   );
   t.true(intake.getTimeSinceOverdueMs() < 1_000);
 });
+
+test('connections of a long run arrived at most half a second after their estimated arrival, and before they were accepted', async (t) => {
+  const { accept, taken } = makeFixture(2_400);
+  accept('a', 'b', 'c', 'd', 'e', 'f');
+  await shared.delay.wait(20);
+  const expected = [0, 1_300, 900, 500, 100, 0];
+  t.is(taken.length, expected.length);
+  taken.forEach(({ name, waitedMs, leastMs }, index) => {
+    t.true(Math.abs(leastMs - (expected[index] ?? 0)) < 200, `${name} ${leastMs}`);
+    t.true(leastMs <= waitedMs, `${name} ${leastMs} ${waitedMs}`);
+  });
+});
--- a/packages/router/src/callers/callerConnections.ts
+++ b/packages/router/src/callers/callerConnections.ts
@@ -11,6 +11,8 @@
   readonly follow: (server: http.Server) => void;
   /** Earliest time at which the input that is read now can have arrived, on the monotonic clock, in milliseconds. */
   readonly getArrivalMs: (socket: net.Socket) => number;
+  /** Time by which a request can have arrived later than `getArrivalMs` said when it was read, in milliseconds. */
+  readonly getArrivalDoubtMs: (response: http.ServerResponse) => number;
   /** Admits a request that was read, after the input that had arrived with it. */
   readonly admit: (response: http.ServerResponse, handlers: AdmissionHandlers) => void;
   /** Lets each connection end with the answer that it waits for, or with its next one. */
@@ -40,8 +42,7 @@
 interface CallerConnection {
   /** Turn in which the connection was taken up; its first input is read in the next one. */
   readonly takenInTurn: number;
-  /** Earliest time at which the connection can have arrived, in milliseconds. */
-  readonly arrivedAtMs: number;
+  readonly arrival: connectionIntake.ArrivalInterval;
   isClosed: boolean;
   readonly handlers: Set<() => void>;
   /** Answers to requests whose head was read, until they are written. */
@@ -60,6 +61,7 @@
   intake: connectionIntake.ConnectionIntake,
 ): CallerConnections => {
   const connections = new Map<net.Socket, CallerConnection>();
+  const doubtsMs = new WeakMap<http.ServerResponse, number>();
   let isReleasing = false;
   let isDraining = false;
   const isIdle = (socket: net.Socket, { unwritten, answeredBytes }: CallerConnection): boolean =>
@@ -71,10 +73,10 @@
         socket.destroySoon();
       }
     });
-  const followConnection = ({ socket, arrivedAtMs }: connectionIntake.TakenConnection): void => {
+  const followConnection = ({ socket, arrival }: connectionIntake.TakenConnection): void => {
     const connection: CallerConnection = {
       takenInTurn: loop.getTurn(),
-      arrivedAtMs,
+      arrival,
       isClosed: false,
       handlers: new Set(),
       unwritten: new Set(),
@@ -105,7 +107,19 @@
         response.shouldKeepAlive = response !== last;
       });
   };
+  /** Limits when the input that is read now arrived. */
+  const estimateArrival = (socket: net.Socket): connectionIntake.ArrivalInterval => {
+    const nowMs = performance.now();
+    const earliestMs = nowMs - loop.getInputAgeMs();
+    const connection = connections.get(socket);
+    // Input that came with its connection waited for both to be read.
+    return connection !== undefined && loop.getTurn() - connection.takenInTurn <= 1
+      ? { ...connection.arrival, earliestMs: Math.min(earliestMs, connection.arrival.earliestMs) }
+      : { earliestMs, latestMs: nowMs };
+  };
   const followRequest = ({ socket }: http.IncomingMessage, response: http.ServerResponse): void => {
+    const { earliestMs, latestMs } = estimateArrival(socket);
+    doubtsMs.set(response, latestMs - earliestMs);
     const connection = connections.get(socket);
     if (connection === undefined) {
       return;
@@ -157,14 +171,8 @@
           connections.forEach((found, socket) => closeIdle(socket, found)),
       });
     },
-    getArrivalMs: (socket) => {
-      const arrivedAtMs = performance.now() - loop.getInputAgeMs();
-      const connection = connections.get(socket);
-      // Input that came with its connection waited for both to be read.
-      return connection !== undefined && loop.getTurn() - connection.takenInTurn <= 1
-        ? Math.min(arrivedAtMs, connection.arrivedAtMs)
-        : arrivedAtMs;
-    },
+    getArrivalMs: (socket) => estimateArrival(socket).earliestMs,
+    getArrivalDoubtMs: (response) => doubtsMs.get(response) ?? 0,
     admit: (response, handlers) =>
       barrier.run(() => {
         if (isClosed(response) || isCutOff(response)) {
--- a/packages/router/src/callers/connectionIntake.ts
+++ b/packages/router/src/callers/connectionIntake.ts
@@ -20,11 +20,17 @@
   readonly handleTaken: (taken: TakenConnection) => void;
 }
 
+/** Times between which input arrived, on the monotonic clock, in milliseconds. */
+export interface ArrivalInterval {
+  readonly earliestMs: number;
+  readonly latestMs: number;
+}
+
 /** A connection that is about to be read. */
 export interface TakenConnection {
   readonly socket: net.Socket;
-  /** Time at which the connection is taken to have arrived, on the monotonic clock, in milliseconds. */
-  readonly arrivedAtMs: number;
+  /** Times between which the connection is taken to have arrived. */
+  readonly arrival: ArrivalInterval;
 }
 
 /** Connections that were accepted in turns that follow each other. */
@@ -41,8 +47,9 @@
   readonly run: AcceptRun;
   /** Number of the run's connections before this one. */
   readonly rank: number;
-  /** Starts to read the connection; gets the time at which it is taken to have arrived, in milliseconds. */
-  readonly take: (arrivedAtMs: number) => void;
+  readonly acceptedAtMs: number;
+  /** Starts to read the connection. */
+  readonly take: (arrival: ArrivalInterval) => void;
 }
 
 /** Longest time for which connections are accepted before those that are held are read, in milliseconds. */
@@ -53,7 +60,7 @@
 const LATE_MS = 250;
 /** Wait after which callers of requests that may be repeated leave a connection that is not read, in milliseconds. */
 const MAX_UNREAD_MS = 1_000;
-/** Time by which a connection is taken to have arrived before its estimated arrival, in milliseconds. */
+/** Time by which a connection can have arrived before or after its estimated arrival, in milliseconds. */
 const ARRIVAL_MARGIN_MS = 500;
 
 /**
@@ -63,6 +70,15 @@
 export const estimateArrivalMs = (run: Readonly<AcceptRun>, rank: number): number =>
   run.startedAtMs + ((rank + 0.5) / run.count) * (run.lastAcceptedAtMs - run.startedAtMs);
 
+/** Limits when a held connection arrived: not before its run, nor after it was accepted. */
+const estimateArrival = ({ run, rank, acceptedAtMs }: HeldConnection): ArrivalInterval => {
+  const estimatedAtMs = Math.min(acceptedAtMs, estimateArrivalMs(run, rank));
+  return {
+    earliestMs: Math.max(run.startedAtMs, estimatedAtMs - ARRIVAL_MARGIN_MS),
+    latestMs: Math.min(acceptedAtMs, estimatedAtMs + ARRIVAL_MARGIN_MS),
+  };
+};
+
 /**
  * Creates an intake. The event loop accepts one connection a turn, so that after a long turn the others wait for as many
  * turns as there are connections before them. Once a run is late, connections are therefore accepted without being read until
@@ -83,12 +99,7 @@
   let overdueAtMs = -Infinity;
 
   const takeConnection = (connection: HeldConnection): void =>
-    connection.take(
-      Math.max(
-        connection.run.startedAtMs,
-        estimateArrivalMs(connection.run, connection.rank) - ARRIVAL_MARGIN_MS,
-      ),
-    );
+    connection.take(estimateArrival(connection));
   const releaseHeld = (nowMs: number): void => {
     const [first] = held;
     const waitedMs = first === undefined ? 0 : nowMs - first.run.startedAtMs;
@@ -126,7 +137,7 @@
       immediate = setImmediate(handlePolled);
     }
   };
-  const hold = (socket: net.Socket, take: (arrivedAtMs: number) => void): void => {
+  const hold = (socket: net.Socket, take: HeldConnection['take']): void => {
     const turn = loop.getTurn();
     const nowMs = performance.now();
     const isFirst = turn - lastTurn > 1 || loop.hasWaited();
@@ -134,12 +145,12 @@
     if (isFirst) {
       run = { startedAtMs: nowMs - loop.getInputAgeMs(), lastAcceptedAtMs: nowMs, count: 0 };
     }
-    const connection: HeldConnection = { socket, run, rank: run.count, take };
+    const connection: HeldConnection = { socket, run, rank: run.count, acceptedAtMs: nowMs, take };
     run.count += 1;
     run.lastAcceptedAtMs = nowMs;
     // A run that is not late is read as it comes.
     if (immediate === null && (isFirst || nowMs - run.startedAtMs < LATE_MS)) {
-      connection.take(nowMs - loop.getInputAgeMs());
+      connection.take({ earliestMs: nowMs - loop.getInputAgeMs(), latestMs: nowMs });
       return;
     }
     hasAccepted = true;
@@ -157,8 +168,8 @@
       Object.assign(server, { pauseOnConnect: true });
       server.on('connection', (socket: net.Socket) => {
         handleAccepted();
-        hold(socket, (arrivedAtMs) => {
-          handleTaken({ socket, arrivedAtMs });
+        hold(socket, (arrival) => {
+          handleTaken({ socket, arrival });
           listeners.forEach((listener) => listener.call(server, socket));
           socket.resume();
         });
--- a/packages/router/src/routed/routedRunners.ts
+++ b/packages/router/src/routed/routedRunners.ts
@@ -1,6 +1,7 @@
 import * as core from '@jayrock/core';
 import * as shared from '@jayrock/shared';
 import type * as pino from 'pino';
+import type * as callerConnections from '../callers/callerConnections.js';
 import type * as inputBarrier from '../eventLoop/inputBarrier.js';
 import type * as loopMonitor from '../eventLoop/loopMonitor.js';
 import type * as peerService from '../peers/peerService.js';
@@ -30,6 +31,7 @@
   readonly reachability: reachabilityMonitor.ReachabilityMonitor;
   readonly barrier: inputBarrier.InputBarrier;
   readonly loop: loopMonitor.LoopMonitor;
+  readonly connections: callerConnections.CallerConnections;
   readonly metrics: routedMetrics.RoutedMetrics;
   readonly log: pino.Logger;
 }
@@ -219,6 +221,7 @@
       notRun: effect.notRun,
       retryAfterMs: effect.retryAfterMs,
       heldMs: Math.round(performance.now() - pending.arrivedAtMs),
+      doubtMs: Math.round(context.connections.getArrivalDoubtMs(pending.response)),
     },
     'request refused',
   );
@@ -243,7 +246,10 @@
     retryAfterMs: 0,
   });
 
-/** Arms a timer; that of a request without an answer fires ahead of its time if the event loop is late. */
+/**
+ * Arms a timer. That of a request without an answer fires ahead of its time if the event loop is late. An answer that has
+ * begun ends only once its time-out has passed since the latest time at which its request can have arrived.
+ */
 const scheduleTimer = (
   context: RoutedRunnerContext,
   { timer, delayMs }: core.effects.EffectOf<'armTimer'>,
@@ -254,8 +260,10 @@
       : 0;
   const fire = (): void => timerEvents.dispatchTimer(context.barrier, context.runtime, timer);
   setTimeout(() => {
-    if (leadMs > 0 && context.pending.get(timer.requestId)?.isHeadWritten === true) {
-      setTimeout(fire, leadMs).unref();
+    const pending = context.pending.get(timer.requestId);
+    if (timer.kind === 'routedTimeout' && pending?.isHeadWritten === true) {
+      const doubtMs = context.connections.getArrivalDoubtMs(pending.response);
+      setTimeout(fire, leadMs + doubtMs).unref();
     } else {
       fire();
     }
