fix(core): an attempt that reached no upstream is taken out of the window of sends

Callers saw: requests whose upstream broke off were answered with 502 although others had used no repeated sends: attempts that reached no upstream had used up the budget of the whole service within milliseconds. Before a real send, such attempts counted as first sends instead and allowed repeats that the limit does not allow (101 first sends of one request allow 20 repeats).

Cause: a send is recorded in the window when its attempt starts, and was not taken out when the attempt failed as unsent; the request's own count of sends was corrected, the window's was not.

Change: recoverAttempt takes an unsent attempt out of the bucket in which it was recorded, as the kind as which it was recorded. The window stays within one router; messages and stored forms do not change.

Not limited by this change, as before: how often a request that reaches no upstream is tried until its time-out.

--- a/packages/core/src/routed/routedRetry.ts
+++ b/packages/core/src/routed/routedRetry.ts
@@ -15,6 +15,7 @@
 import * as routedContext from './routedContext.js';
 import * as routedRefusal from './routedRefusal.js';
 import type * as routedState from './routedState.js';
+import * as routedSend from './routedSend.js';
 import * as sendBudget from './sendBudget.js';
 
 /** A routed request with one of its attempts. */
@@ -274,7 +275,8 @@
       ? brittleUpstreams.startRestAfterTurnAway(updated, attempt.upstreamId, event)
       : updated;
   const latest = rested.requests.get(request.id) ?? request;
-  const progressed = routerState.setRequest(rested, {
+  const counted = event.isUnsent ? routedSend.withdrawSend(rested, latest, attempt) : rested;
+  const progressed = routerState.setRequest(counted, {
     ...latest,
     sentCount: latest.sentCount - Number(event.isUnsent),
     routed: {
--- a/packages/core/src/routed/routedSend.ts
+++ b/packages/core/src/routed/routedSend.ts
@@ -55,6 +55,15 @@
   };
 };
 
+const setSendWindow = (
+  current: routerState.RouterState,
+  service: string,
+  window: sendBudget.SendWindow,
+): routerState.RouterState => ({
+  ...current,
+  routed: { ...current.routed, sendWindows: current.routed.sendWindows.set(service, window) },
+});
+
 /** Records a send in the service's window, which limits the fleet's repeated sends. */
 export const recordSend = (
   current: routerState.RouterState,
@@ -70,6 +79,21 @@
     current.routed.settings.repeats,
     nowMs,
   );
-  const sendWindows = current.routed.sendWindows.set(request.service, window);
-  return { ...current, routed: { ...current.routed, sendWindows } };
+  return setSendWindow(current, request.service, window);
 };
+
+/** Takes an attempt of which nothing was sent out of the service's window; its request still counts it as sent. */
+export const withdrawSend = (
+  current: routerState.RouterState,
+  request: requestState.RequestState,
+  attempt: requestState.Attempt,
+): routerState.RouterState =>
+  setSendWindow(
+    current,
+    request.service,
+    sendBudget.withdrawSend(
+      routedContext.getSendWindow(current.routed, request.service),
+      request.sentCount > 1,
+      attempt.startedAtMs,
+    ),
+  );
--- a/packages/core/src/routed/sendBudget.ts
+++ b/packages/core/src/routed/sendBudget.ts
@@ -51,6 +51,26 @@
   return { buckets: [...(isCurrent ? kept.slice(0, -1) : kept), next] };
 };
 
+/** Takes a send out of the window again, that was recorded at a time in milliseconds but reached no upstream. */
+export const withdrawSend = (
+  window: SendWindow,
+  isRepeat: boolean,
+  recordedAtMs: number,
+): SendWindow => {
+  const startsAtMs = computeBucketStart(recordedAtMs);
+  return {
+    buckets: window.buckets.map((bucket) =>
+      bucket.startsAtMs === startsAtMs
+        ? {
+            ...bucket,
+            firstSends: Math.max(0, bucket.firstSends - Number(!isRepeat)),
+            repeatSends: Math.max(0, bucket.repeatSends - Number(isRepeat)),
+          }
+        : bucket,
+    ),
+  };
+};
+
 /** Returns whether one more repeated send fits this router's part of the fleet's limit. */
 export const hasRepeatBudget = (
   window: SendWindow,
