fix(router): a stopping router whose turns are long refuses its last requests earlier

Callers could see: requests that a stopping router still held near the end of its grace period got no answer, since its process was killed before their refusal was written: the turn of the event loop that held the end of the wait ran past the kill.

Cause: the end of the wait for answers is a fixed share of the grace period (95 %), with no regard to the length of turns that the loop knows. Time-outs of routes have such a lead.

Change: the end of that wait is set ahead by two recent turns, as time-outs are, by the same function, and by 12 % of the grace period at most; for relays too. With short turns nothing changes. Messages and stored forms do not change.

--- a/packages/router/__tests__/timeoutLead.spec.ts
+++ b/packages/router/__tests__/timeoutLead.spec.ts
@@ -7,3 +7,8 @@
   t.is(timeoutLead.computeTimeoutLeadMs(200, 400), 20);
   t.is(timeoutLead.computeTimeoutLeadMs(20_000, 400), 250);
 });
+
+test('the lead of an end is two turns of the event loop, at most what its caller allows', (t) => {
+  t.is(timeoutLead.computeLeadMs(5, 700), 10);
+  t.is(timeoutLead.computeLeadMs(450, 700), 700);
+});
--- a/packages/router/src/routed/startRoutedRouter.ts
+++ b/packages/router/src/routed/startRoutedRouter.ts
@@ -30,6 +30,7 @@
 import * as routedRunners from './routedRunners.js';
 import * as routedServer from './routedServer.js';
 import * as storeSource from './storeSource.js';
+import * as timeoutLead from './timeoutLead.js';
 
 /** Interval between ticks of the reducer, in milliseconds. */
 const TICK_MS = 200;
@@ -50,6 +51,8 @@
 const BALANCER_REMOVAL_MS = 3_000;
 /** Share of the grace period after which all requests in flight are refused. */
 const ANSWER_SHARE = 0.95;
+/** Share of the grace period by which this is set ahead at most where turns of the event loop are long. */
+const MAX_LEAD_SHARE = 0.12;
 /** Share of the grace period after which answers that are not yet written are cut off. */
 const WRITE_SHARE = 0.975;
 
@@ -320,26 +323,27 @@
  * answered. Those that are still waiting near the end of the grace period are refused.
  */
 const drainRequests = async (
-  { runtime, pending, source, log, connections }: RoutedRouterParts,
+  { runtime, pending, source, log, connections, loop }: RoutedRouterParts,
   { callers, relays }: Listeners,
   stoppedAtMs: number,
   graceMs: number,
 ): Promise<void> => {
-  const isAfter = (share: number) => (): boolean =>
-    performance.now() - stoppedAtMs > graceMs * share;
+  const isAfter = (endMs: number): boolean => performance.now() - stoppedAtMs > endMs;
+  const isAnswerOver = (): boolean =>
+    isAfter(
+      graceMs * ANSWER_SHARE -
+        timeoutLead.computeLeadMs(loop.getRecentTurnMs(), graceMs * MAX_LEAD_SHARE),
+    );
   log.info({ running: pending.size }, 'router stopping');
   connections.release();
   source.leave().catch((error: unknown) => log.warn({ error }, 'router registration not removed'));
   await shared.delay.wait(BALANCER_REMOVAL_MS - (performance.now() - stoppedAtMs));
   connections.drain(callers.server);
-  await Promise.all([
-    connections.waitAnswered(isAfter(ANSWER_SHARE)),
-    relays.drain(isAfter(ANSWER_SHARE)),
-  ]);
+  await Promise.all([connections.waitAnswered(isAnswerOver), relays.drain(isAnswerOver)]);
   pending.forEach((request) => logCutRequest(log, request, stoppedAtMs));
   log.info({ cut: pending.size }, 'router stopped');
   runtime.dispatch({ type: 'stopExpired' });
-  await connections.waitAnswered(isAfter(WRITE_SHARE));
+  await connections.waitAnswered(() => isAfter(graceMs * WRITE_SHARE));
 };
 
 /** A router that is starting. */
