fix(router): a stopping router waits until its peers have asked for the ends of relays

Callers could see: a whole answer without a length, passed on by a peer that stops, broken off at its end, since the peer was gone before the router of the caller, busy for a quarter of a second, asked whether that end was the upstream's own.

Cause: the stop waited for open relays only (50 ms polls). The end of a relay is knowledge that its peer still needs.

Change: a record of an end knows whether it was asked for; a stopping router waits for that for a second after the end, at most, and not past the end of its wait for answers. Messages do not change: a peer of the former build asks in the same way; one that does not ask delays a stop by a second at most.

--- a/packages/router/__tests__/relays.spec.ts
+++ b/packages/router/__tests__/relays.spec.ts
@@ -142,6 +142,17 @@
   t.true(await end);
 });
 
+test('a peer that does not ask for the end of a relay holds up a stop for a second at most', async (t) => {
+  const relay = await openRelay(t);
+  const startedAtMs = performance.now();
+  relay.upstream.end();
+  await new Promise((resolve) => {
+    relay.socket.once('close', resolve);
+  });
+  await relay.stop();
+  t.true(performance.now() - startedAtMs < 1_500);
+});
+
 test('a router that stops resets its relays, which every build can tell from an end', async (t) => {
   const relay = await openRelay(t, 'former');
   const error = new Promise<NodeJS.ErrnoException>((resolve) => {
--- a/packages/router/src/relays/relayEnd.ts
+++ b/packages/router/src/relays/relayEnd.ts
@@ -9,20 +9,42 @@
   readonly record: (relayId: string, bytes: number) => void;
   /** Returns the number of bytes after which the upstream ended its connection; null if it has not. */
   readonly find: (relayId: string) => number | null;
+  /** Returns whether a peer may still ask for an end that was recorded recently. */
+  readonly hasUnasked: () => boolean;
+}
+
+/** End of a relay. */
+interface RecordedEnd {
+  readonly bytes: number;
+  readonly recordedAtMs: number;
+  isAsked: boolean;
 }
 
 /** Time for which the end of a relay is kept for its peer, in milliseconds. */
 const KEPT_MS = 10_000;
+/** Time in which a peer that needs an end asks for it although it is busy, in milliseconds. */
+const MAX_ASK_MS = 1_000;
 
 /** Makes an empty record of ends. */
 export const makeRelayEnds = (): RelayEnds => {
-  const ends = new Map<string, number>();
+  const ends = new Map<string, RecordedEnd>();
   return {
     record: (relayId, bytes) => {
-      ends.set(relayId, bytes);
+      ends.set(relayId, { bytes, recordedAtMs: performance.now(), isAsked: false });
       setTimeout(() => ends.delete(relayId), KEPT_MS).unref();
     },
-    find: (relayId) => ends.get(relayId) ?? null,
+    find: (relayId) => {
+      const end = ends.get(relayId);
+      if (end === undefined) {
+        return null;
+      }
+      end.isAsked = true;
+      return end.bytes;
+    },
+    hasUnasked: () =>
+      Array.from(ends.values()).some(
+        ({ recordedAtMs, isAsked }) => !isAsked && performance.now() - recordedAtMs < MAX_ASK_MS,
+      ),
   };
 };
 
--- a/packages/router/src/relays/relayServer.ts
+++ b/packages/router/src/relays/relayServer.ts
@@ -25,7 +25,10 @@
 export interface RelayServer {
   /** Returns the number of open relays. */
   readonly countOpen: () => number;
-  /** Resolves when all relays have ended, or when `isOver` returns true; the peers end those that carry no answer. */
+  /**
+   * Resolves when all relays have ended and the peers have asked for their ends, or when `isOver` returns true; the peers
+   * end those that carry no answer.
+   */
   readonly drain: (isOver: () => boolean) => Promise<void>;
   /** Cuts all relays with a reset, which a peer cannot take for the end of an answer. */
   readonly close: () => void;
@@ -156,7 +159,7 @@
   return {
     countOpen: () => open.size,
     drain: async (isOver) => {
-      while (open.size > 0 && !isOver()) {
+      while ((open.size > 0 || context.ends.hasUnasked()) && !isOver()) {
         // eslint-disable-next-line no-await-in-loop -- each check follows a pause
         await shared.delay.wait(DRAIN_POLL_MS);
       }
