test(router): a relaying router drops what its peer has given up, and relays to no upstream that leaves (fails)

Cause: relays write a peer's bytes to the upstream as they are read; the close that had arrived with them is read a turn later (no input barrier). The address is looked up whatever the state of the upstream in the router's own list.

--- /dev/null
+++ b/packages/router/__tests__/lateRelays.spec.ts
@@ -0,0 +1,115 @@
+import * as http from 'node:http';
+import * as net from 'node:net';
+import type * as ava from 'ava';
+import test from 'ava';
+import * as pino from 'pino';
+import * as shared from '@jayrock/shared';
+import * as relayClient from '../src/relays/relayClient.js';
+import * as relayEnd from '../src/relays/relayEnd.js';
+import * as relayServer from '../src/relays/relayServer.js';
+import type * as routerRuntime from '../src/routerRuntime.js';
+
+const SECRET = 'secret';
+const LOCAL = '127.0.0.1';
+const REQUEST = 'GET /read/ HTTP/1.1\r\n\r\n';
+/** Time for which the event loop of the relaying router is blocked, in milliseconds. */
+const BLOCKED_MS = 600;
+/** Time in which bytes would have reached the upstream, in milliseconds. */
+const SETTLED_MS = 100;
+
+const blockLoop = (durationMs: number): void => {
+  const endMs = performance.now() + durationMs;
+  while (performance.now() < endMs);
+};
+
+const listen = async (t: ava.ExecutionContext, server: net.Server): Promise<string> => {
+  const sockets = new Set<net.Socket>();
+  server.on('connection', (socket: net.Socket) => sockets.add(socket));
+  await new Promise<void>((resolve) => {
+    server.listen(0, LOCAL, resolve);
+  });
+  t.teardown(() => {
+    sockets.forEach((socket) => socket.destroy());
+    server.close();
+  });
+  return `${LOCAL}:${(server.address() as net.AddressInfo).port}`;
+};
+
+/** An upstream that reads what reaches it, and a router that offers relays to it. */
+interface RelayedUpstream {
+  readonly open: () => Promise<net.Socket>;
+  /** Returns what has reached the upstream. */
+  readonly getReceived: () => string;
+}
+
+const startUpstream = async (
+  t: ava.ExecutionContext,
+  state: 'live' | 'leaving' = 'live',
+): Promise<RelayedUpstream> => {
+  let received = '';
+  const upstream = net.createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.on('data', (bytes: Buffer) => {
+      received += bytes.toString('utf8');
+    });
+  });
+  const address = await listen(t, upstream);
+  const server = http.createServer();
+  relayServer.serveRelays(server, {
+    runtime: {
+      getState: () => ({ upstreams: new Map([['u', { host: { address, state } }]]) }),
+    } as unknown as routerRuntime.Runtime,
+    log: pino.pino({ level: 'silent' }),
+    secret: SECRET,
+    localAddress: LOCAL,
+    ends: relayEnd.makeRelayEnds(),
+    hasOwnPath: () => true,
+    isLeaving: () => false,
+  });
+  const peer = await listen(t, server);
+  const open = relayClient.makeRelayClient(SECRET, LOCAL, {
+    call: () => Promise.resolve(null),
+  });
+  return {
+    open: async () => {
+      const socket = await open(peer, 'u');
+      t.teardown(() => socket.destroy());
+      return socket.on('error', () => undefined);
+    },
+    getReceived: () => received,
+  };
+};
+
+const ENDS: Readonly<Record<'closes' | 'resets', (socket: net.Socket) => void>> = {
+  closes: (socket) => socket.destroy(),
+  resets: (socket) => socket.resetAndDestroy(),
+};
+
+(['closes', 'resets'] as const).forEach((how) => {
+  test.serial(
+    `a relaying router does not pass on a request that was given up while it was unread (its peer ${how})`,
+    async (t) => {
+      const upstream = await startUpstream(t);
+      const socket = await upstream.open();
+      socket.write(REQUEST);
+      ENDS[how](socket);
+      blockLoop(BLOCKED_MS);
+      await shared.delay.wait(SETTLED_MS);
+      t.is(upstream.getReceived(), '');
+    },
+  );
+});
+
+test.serial('a relaying router passes on a request whose peer waits', async (t) => {
+  const upstream = await startUpstream(t);
+  const socket = await upstream.open();
+  socket.write(REQUEST);
+  blockLoop(BLOCKED_MS);
+  await shared.delay.wait(SETTLED_MS);
+  t.is(upstream.getReceived(), REQUEST);
+});
+
+test.serial('a router offers no relay to an upstream that it knows to leave', async (t) => {
+  const upstream = await startUpstream(t, 'leaving');
+  await t.throwsAsync(upstream.open());
+});
