fix(router): a relaying router drops what its peer has given up, and sends nothing new to an upstream that it knows to leave

Cause: relays wrote a peer's bytes to the upstream as they were read; the close that had arrived with them is read a turn later. The relaying router looked up the address whatever the state of the upstream. Change: a peer's bytes pass an input barrier and are dropped if its end or reset was read by then. A router that opens a relay in order to send names the process that it means by its start time (x-relay-process); a peer that knows that process to leave refuses with x-relay-refusal: leaving. The request then counts as overdue there (not sent, goes elsewhere) and the upstream rests for 1 s, since either list may be the older one; neither the upstream's failures nor its reachability nor the peer are touched. Probes name no process and get the relay. Mixed builds: a former router names no process and gets the relay as before (a refusal would be a cut to it); a former peer ignores the header and opens the relay as before. The test on leaving upstreams is stricter: it asks for the code of the error.

--- a/packages/router/__tests__/lateRelays.spec.ts
+++ b/packages/router/__tests__/lateRelays.spec.ts
@@ -8,6 +8,8 @@
 import * as relayEnd from '../src/relays/relayEnd.js';
 import * as relayServer from '../src/relays/relayServer.js';
 import type * as routerRuntime from '../src/routerRuntime.js';
+import * as signature from '../src/peers/signature.js';
+import * as attemptFailure from '../src/upstreams/attemptFailure.js';
 
 const SECRET = 'secret';
 const LOCAL = '127.0.0.1';
@@ -37,7 +39,9 @@
 
 /** An upstream that reads what reaches it, and a router that offers relays to it. */
 interface RelayedUpstream {
-  readonly open: () => Promise<net.Socket>;
+  readonly open: (use?: relayClient.RelayUse) => Promise<net.Socket>;
+  /** Address at which peers ask the router. */
+  readonly peer: string;
   /** Returns what has reached the upstream. */
   readonly getReceived: () => string;
 }
@@ -71,8 +75,9 @@
     call: () => Promise.resolve(null),
   });
   return {
-    open: async () => {
-      const socket = await open(peer, 'u');
+    peer,
+    open: async (use) => {
+      const socket = await open(peer, 'u', use);
       t.teardown(() => socket.destroy());
       return socket.on('error', () => undefined);
     },
@@ -111,5 +116,47 @@
 
 test.serial('a router offers no relay to an upstream that it knows to leave', async (t) => {
   const upstream = await startUpstream(t, 'leaving');
-  await t.throwsAsync(upstream.open());
+  await t.throwsAsync(upstream.open(), { code: attemptFailure.LEAVING_CODE });
 });
+
+test.serial('a relay to another process than the one that leaves is offered', async (t) => {
+  const upstream = await startUpstream(t, 'leaving');
+  await t.notThrowsAsync(upstream.open({ kind: 'send', bornAtMs: 1 }));
+});
+
+test.serial('an upstream that leaves still counts as reached through a peer', async (t) => {
+  const upstream = await startUpstream(t, 'leaving');
+  await t.notThrowsAsync(upstream.open({ kind: 'probe' }));
+});
+
+/** Asks for a relay as a router of the former build does; returns the status of the answer. */
+const openAsFormer = (t: ava.ExecutionContext, peer: string): Promise<number | undefined> =>
+  new Promise((resolve, reject) => {
+    const path = `${relayClient.RELAY_PREFIX}u`;
+    const request = http.request({
+      ...shared.settings.parseAddress(peer),
+      agent: false,
+      path,
+      headers: {
+        connection: 'upgrade',
+        upgrade: relayClient.RELAY_PROTOCOL,
+        [relayClient.RELAY_ID_HEADER]: 'r',
+        [signature.SIGNATURE_HEADER]: signature.signMessage(path, SECRET, Date.now()),
+      },
+    });
+    request.once('upgrade', ({ statusCode }, socket) => {
+      t.teardown(() => socket.destroy());
+      resolve(statusCode);
+    });
+    request.once('response', ({ statusCode }) => resolve(statusCode));
+    request.once('error', reject);
+    request.end();
+  });
+
+test.serial(
+  'a router of the former build, which takes a refusal for a cut, gets a relay as before',
+  async (t) => {
+    const upstream = await startUpstream(t, 'leaving');
+    t.is(await openAsFormer(t, upstream.peer), 101);
+  },
+);
--- a/packages/router/__tests__/routedAttempt.spec.ts
+++ b/packages/router/__tests__/routedAttempt.spec.ts
@@ -8,7 +8,8 @@
 import type * as pendingRoutedRequest from '../src/routed/pendingRoutedRequest.js';
 import * as routedAttempt from '../src/routed/routedAttempt.js';
 import * as bufferBudget from '../src/upstreams/bufferBudget.js';
-import type * as connectionPools from '../src/upstreams/connectionPools.js';
+import * as attemptFailure from '../src/upstreams/attemptFailure.js';
+import * as connectionPools from '../src/upstreams/connectionPools.js';
 
 interface FakePools {
   readonly pools: connectionPools.ConnectionPools;
@@ -176,6 +177,19 @@
   ]);
 });
 
+test('a request whose relay is refused since its upstream leaves is overdue there, not a failure', async (t) => {
+  const pools = connectionPools.makeConnectionPools('127.0.0.1', IMMEDIATE_BARRIER, {
+    openRelayed: () =>
+      Promise.reject(Object.assign(new Error('refused'), { code: attemptFailure.LEAVING_CODE })),
+  });
+  const { failures } = startAttempt(pools);
+  await shared.delay.wait(50);
+  t.deepEqual(failures, [
+    { failure: 'overdue', isUnsent: true, isNotRun: true, reason: 'refused' },
+  ]);
+  await pools.close();
+});
+
 test('a short answer that only its connection ends may have been cut by a crash, one with chunks was not', (t) => {
   const H = platform.wire.HEADERS;
   const headers = { [H.requestId]: 'a', [H.stamp]: 'stamp' };
--- a/packages/router/src/relays/relayServer.ts
+++ b/packages/router/src/relays/relayServer.ts
@@ -2,6 +2,7 @@
 import * as net from 'node:net';
 import * as shared from '@jayrock/shared';
 import type * as pino from 'pino';
+import * as inputBarrier from '../eventLoop/inputBarrier.js';
 import * as signature from '../peers/signature.js';
 import type * as routerRuntime from '../routerRuntime.js';
 import * as socketReset from '../upstreams/socketReset.js';
@@ -44,30 +45,42 @@
 
 const REFUSAL =
   'HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
+const LEAVING_REFUSAL = REFUSAL.replace(
+  '\r\n\r\n',
+  `\r\n${relayClient.RELAY_REFUSAL_HEADER}: ${relayClient.REFUSAL_LEAVING}\r\n\r\n`,
+);
 const ACCEPTANCE = `HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: ${relayClient.RELAY_PROTOCOL}\r\n\r\n`;
 
-/** Passes the bytes of one connection on to another, with backpressure. */
-const forwardBytes = (from: net.Socket, to: net.Socket): void => {
-  from.on('data', (bytes) => {
-    if (!to.write(bytes)) {
-      from.pause();
-    }
-  });
+/** Passes the bytes of one connection on to another when `run` runs the work, with backpressure. */
+const forwardBytes = (
+  from: net.Socket,
+  to: net.Socket,
+  run: inputBarrier.InputBarrier['run'],
+): void => {
+  from.on('data', (bytes) =>
+    run(() => {
+      if (to.writable && !to.write(bytes)) {
+        from.pause();
+      }
+    }),
+  );
   to.on('drain', () => from.resume());
 };
 
 /**
  * Joins a peer's connection with one to an upstream. The peer must be able to tell an answer that ends from one that is
- * reset, and the upstream that the peer left, so both ends are passed on as they came.
+ * reset, and the upstream that the peer left, so both ends are passed on as they came. What the peer sent is passed on
+ * after the input that had arrived has been read, unless the peer has given it up.
  */
 const joinConnections = (
   peer: net.Socket,
   upstream: net.Socket,
+  barrier: inputBarrier.InputBarrier,
   handleEnd: (bytes: number) => void,
 ): void => {
   [peer, upstream].forEach((socket) => socket.setNoDelay(true));
-  forwardBytes(peer, upstream);
-  forwardBytes(upstream, peer);
+  forwardBytes(peer, upstream, barrier.run);
+  forwardBytes(upstream, peer, (work) => work());
   upstream.once('end', () => {
     if (socketReset.isReset(upstream)) {
       peer.resetAndDestroy();
@@ -91,7 +104,8 @@
 export const serveRelays = (server: http.Server, context: RelayContext): RelayServer => {
   const { runtime, log, secret, localAddress } = context;
   const open = new Set<net.Socket>();
-  const findAddress = (request: http.IncomingMessage): string | null => {
+  const barrier = inputBarrier.makeInputBarrier();
+  const findHost = (request: http.IncomingMessage): shared.hosts.Host | null => {
     const path = request.url ?? '';
     const signed = String(request.headers[signature.SIGNATURE_HEADER] ?? '');
     if (
@@ -102,11 +116,22 @@
       return null;
     }
     const id = decodeURIComponent(path.slice(relayClient.RELAY_PREFIX.length));
-    return runtime.getState().upstreams.get(id)?.host.address ?? null;
+    return runtime.getState().upstreams.get(id)?.host ?? null;
   };
+  /** Returns whether a peer wants to send to a process that leaves, as far as this router knows. */
+  const isForLeaving = (request: http.IncomingMessage, host: shared.hosts.Host): boolean =>
+    host.state === 'leaving' &&
+    request.headers[relayClient.RELAY_PROCESS_HEADER] ===
+      relayClient.nameProcess(host.bornAtMs ?? null);
   server.on('upgrade', (request: http.IncomingMessage, socket: net.Socket, head: Buffer) => {
     socket.on('error', (error) => log.debug({ error }, 'relay broken by its peer'));
-    const address = findAddress(request);
+    const host = findHost(request);
+    const address = host?.address ?? null;
+    if (host !== null && isForLeaving(request, host)) {
+      log.info({ address }, 'relay refused, the upstream leaves');
+      socket.end(LEAVING_REFUSAL);
+      return;
+    }
     const mayOpen =
       address !== null &&
       open.size < MAX_RELAYS &&
@@ -145,10 +170,10 @@
       upstream.off('timeout', refuseLate);
       socket.write(ACCEPTANCE);
       if (head.length > 0) {
-        upstream.write(head);
+        socket.unshift(head);
       }
       const relayId = request.headers[relayClient.RELAY_ID_HEADER];
-      joinConnections(socket, upstream, (bytes) => {
+      joinConnections(socket, upstream, barrier, (bytes) => {
         // Routers of older versions send no id.
         if (typeof relayId === 'string') {
           context.ends.record(relayId, bytes);
@@ -168,6 +193,7 @@
       if (open.size > 0) {
         log.info({ open: open.size }, 'relays cut');
       }
+      barrier.stop();
       open.forEach((socket) => socket.resetAndDestroy());
     },
   };
--- a/packages/router/src/relays/upstreamPaths.ts
+++ b/packages/router/src/relays/upstreamPaths.ts
@@ -41,6 +41,8 @@
 const DECLINE_MS = 1_000;
 /** Time for which peers are not asked again for an upstream that none of them reached, in milliseconds. */
 const FUTILE_MS = 1_500;
+/** Time for which an upstream gets nothing after a peer refused a relay to it since it leaves, in milliseconds. */
+const LEAVING_REST_MS = 1_000;
 
 /** Duration of a probe without an answer above which this process itself was stalled, in milliseconds. */
 const STALLED_PROBE_MS = 450;
@@ -104,7 +106,7 @@
     for (const peer of listPeers(relays.get(address)?.peer)) {
       try {
         // eslint-disable-next-line no-await-in-loop -- the next peer is asked only if this one has no path
-        const socket = await openRelay(peer, upstreamId);
+        const socket = await openRelay(peer, upstreamId, { kind: 'probe' });
         socket.destroy();
         return { upstreamId, peer };
       } catch (error) {
@@ -115,10 +117,37 @@
     futileAtMs.set(address, performance.now());
     return null;
   };
+  const getBornAtMs = (upstreamId: string): number | null =>
+    runtime.getState().upstreams.get(upstreamId)?.host.bornAtMs ?? null;
+  /**
+   * Lets an upstream rest that leaves, as far as a peer knows. This router's own list will show it; the peer's may be
+   * the older one, so what it says holds for a short time only.
+   */
+  const restLeaving = (upstreamId: string): void => {
+    const maxTurnAways = runtime.getState().upstreams.get(upstreamId)?.maxTurnAways ?? null;
+    runtime.dispatch({
+      type: 'noticeObserved',
+      upstreamId,
+      isLeaving: false,
+      restMs: LEAVING_REST_MS,
+      maxTurnAways,
+    });
+  };
+  const openToSend = async ({ peer, upstreamId }: Relay): Promise<net.Socket> => {
+    const bornAtMs = getBornAtMs(upstreamId);
+    try {
+      return await openRelay(peer, upstreamId, { kind: 'send', bornAtMs });
+    } catch (error) {
+      if (attemptFailure.isLeavingError(error) && getBornAtMs(upstreamId) === bornAtMs) {
+        restLeaving(upstreamId);
+      }
+      throw error;
+    }
+  };
   return {
     openRelayed: (address): Promise<net.Socket> | null => {
       const relay = relays.get(address);
-      return relay === undefined ? null : openRelay(relay.peer, relay.upstreamId);
+      return relay === undefined ? null : openToSend(relay);
     },
     isRelayed: (address) => relays.has(address),
     forget: (address) => {
--- a/packages/router/src/routed/routedAttempt.ts
+++ b/packages/router/src/routed/routedAttempt.ts
@@ -91,6 +91,14 @@
 const isSuccess = (status: number): boolean =>
   status >= FIRST_SUCCESS_STATUS && status < FIRST_REDIRECT_STATUS;
 
+/** Classifies the error of a request of which nothing was sent. */
+const classifyUnsent = (error: Error): core.events.RoutedFailure => {
+  if (attemptFailure.isLeavingError(error)) {
+    return 'overdue';
+  }
+  return attemptFailure.isConnectError(error) ? 'unreachable' : 'broken';
+};
+
 /** Returns whether an answer has no length and no chunks, so that it ends with its connection. */
 const isUnframed = (headers: platform.callHeaders.ParsedHeaders): boolean =>
   headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
@@ -393,7 +401,7 @@
       return;
     }
     const isUnsent = !isStarted;
-    const failure = isUnsent && attemptFailure.isConnectError(error) ? 'unreachable' : 'broken';
+    const failure = isUnsent ? classifyUnsent(error) : 'broken';
     fail({ failure, isUnsent, isNotRun: isUnsent, reason: error.message });
   };
   const handleEnd = (): void => {
--- a/packages/router/src/upstreams/attemptFailure.ts
+++ b/packages/router/src/upstreams/attemptFailure.ts
@@ -21,6 +21,12 @@
 const getCode = (error: unknown): string =>
   error instanceof Error && 'code' in error ? String(error.code) : '';
 
+/** Code of an error by which a request is not sent because its upstream leaves; the upstream can be reached. */
+export const LEAVING_CODE = 'UPSTREAM_LEAVES';
+
+/** Returns whether an error means that a request was not sent because its upstream leaves. */
+export const isLeavingError = (error: unknown): boolean => getCode(error) === LEAVING_CODE;
+
 /** Returns whether an error means that no connection was established, so that nothing was sent. */
 export const isConnectError = (error: unknown): boolean => CONNECT_CODES.has(getCode(error));
 
