fix(router): watchdogs of the own interface read the answers that have arrived before they give up

Callers could see: a chat that breaks off or starts again elsewhere, or a failed call, although the answer was there in time; the pool of the upstream was renewed for nothing. After a long turn of the event loop only. Cause: the time-outs of chat and call attempts were plain timers, which fire before the poll that reads what has arrived. Change: one watchdog for both (upstreams/watchdog.ts), which fires through the input barrier, and only if it was not reset or stopped since. The pools offer the barrier that they are made with. Fixture of routedAttempt.spec.ts: its pools name a barrier. Mixed builds: nothing is sent or stored differently.

--- a/packages/router/__tests__/routedAttempt.spec.ts
+++ b/packages/router/__tests__/routedAttempt.spec.ts
@@ -19,6 +19,14 @@
   readonly answer: (headers: Readonly<Record<string, string>>) => void;
 }
 
+/** A barrier that runs all work at once. */
+const IMMEDIATE_BARRIER: inputBarrier.InputBarrier = {
+  run: (work) => work(),
+  runDue: (work) => work(),
+  recordConnection: () => undefined,
+  stop: () => undefined,
+};
+
 /** Creates pools whose connections open only when the test calls `open`. */
 const makePools = (): FakePools => {
   let handler: undici.Dispatcher.DispatchHandler | null = null;
@@ -35,6 +43,7 @@
       renew: () => undefined,
       wasReset: () => false,
       verifyEnd: () => null,
+      barrier: IMMEDIATE_BARRIER,
       buffers: bufferBudget.makeBufferBudget(),
       close: () => Promise.resolve(),
     },
@@ -57,14 +66,6 @@
   };
 };
 
-/** A barrier that runs all work at once. */
-const IMMEDIATE_BARRIER: inputBarrier.InputBarrier = {
-  run: (work) => work(),
-  runDue: (work) => work(),
-  recordConnection: () => undefined,
-  stop: () => undefined,
-};
-
 /** Time for which the work that is added to a barrier runs, in milliseconds. */
 const WORK_MS = 600;
 const TURN_MS = 20;
--- a/packages/router/src/upstreams/callAttempt.ts
+++ b/packages/router/src/upstreams/callAttempt.ts
@@ -3,6 +3,7 @@
 import * as attemptFailure from './attemptFailure.js';
 import * as rateLimitHeader from './rateLimitHeader.js';
 import * as upstreamNotices from './upstreamNotices.js';
+import * as watchdog from './watchdog.js';
 import type * as replySink from '../callers/replySink.js';
 
 /** One attempt to call a plain service; the timeout is in milliseconds. */
@@ -72,11 +73,11 @@
       listener.handleFailure(failure);
     }
   };
-  const timer = setTimeout(() => {
+  const silence = watchdog.startWatchdog(pools.barrier, attempt.timeoutMs, () => {
     pools.renew(attempt.address);
     fail({ failure: 'silent', isUnsent: false });
     controller.abort();
-  }, attempt.timeoutMs);
+  });
   const run = async (): Promise<void> => {
     try {
       const response = await pools.get(attempt.address).request({
@@ -104,7 +105,7 @@
         fail(await attemptFailure.classifyConnectionError(attempt.address, error));
       }
     } finally {
-      clearTimeout(timer);
+      silence.stop();
     }
   };
   run().catch((error: unknown) => {
@@ -112,7 +113,7 @@
   });
   return () => {
     isOver = true;
-    clearTimeout(timer);
+    silence.stop();
     controller.abort();
   };
 };
--- a/packages/router/src/upstreams/chatAttempt.ts
+++ b/packages/router/src/upstreams/chatAttempt.ts
@@ -4,6 +4,7 @@
 import * as attemptFailure from './attemptFailure.js';
 import * as rateLimitHeader from './rateLimitHeader.js';
 import * as upstreamNotices from './upstreamNotices.js';
+import * as watchdog from './watchdog.js';
 
 /** Callbacks of a chat attempt. */
 export interface AttemptListener {
@@ -40,23 +41,6 @@
   [503, 'busy'],
 ]);
 
-interface Watchdog {
-  readonly reset: (timeoutMs: number) => void;
-  readonly stop: () => void;
-}
-
-/** Starts a timer that calls back unless it is reset within the timeout last given. */
-const startWatchdog = (timeoutMs: number, onTimeout: () => void): Watchdog => {
-  let timer = setTimeout(onTimeout, timeoutMs);
-  return {
-    reset: (nextMs) => {
-      clearTimeout(timer);
-      timer = setTimeout(onTimeout, nextMs);
-    },
-    stop: () => clearTimeout(timer),
-  };
-};
-
 const sendRequest = (
   pools: connectionPools.ConnectionPools,
   attempt: ChatAttempt,
@@ -84,7 +68,7 @@
 const forwardBody = async (
   body: AsyncIterable<Uint8Array>,
   listener: AttemptListener,
-  watchdog: Watchdog,
+  silence: watchdog.Watchdog,
   limits: AttemptLimits,
 ): Promise<ReadOutcome> => {
   const reader = answerReader.makeAnswerReader();
@@ -100,10 +84,10 @@
     }
     if (decoded.events.length > 0) {
       // Backpressure from a slow caller must not count as silence of the upstream.
-      watchdog.stop();
+      silence.stop();
       await listener.handleEvents(decoded.events);
     }
-    watchdog.reset(limits.silentStreamMs);
+    silence.reset(limits.silentStreamMs);
     if (decoded.hasEnded) {
       return 'ended';
     }
@@ -129,7 +113,7 @@
       listener.handleFailure(failure);
     }
   };
-  const watchdog = startWatchdog(limits.firstByteTimeoutMs, () => {
+  const silence = watchdog.startWatchdog(pools.barrier, limits.firstByteTimeoutMs, () => {
     pools.renew(attempt.address);
     fail({ failure: 'silent', isUnsent: false });
     controller.abort();
@@ -154,13 +138,13 @@
         fail({ failure: STATUS_FAILURES.get(response.statusCode) ?? 'failed', isUnsent: false });
         return;
       }
-      handleOutcome(await forwardBody(response.body, listener, watchdog, limits));
+      handleOutcome(await forwardBody(response.body, listener, silence, limits));
     } catch (error) {
       if (!isOver) {
         fail(await attemptFailure.classifyConnectionError(attempt.address, error));
       }
     } finally {
-      watchdog.stop();
+      silence.stop();
     }
   };
   run().catch((error: unknown) => {
@@ -168,7 +152,7 @@
   });
   return () => {
     isOver = true;
-    watchdog.stop();
+    silence.stop();
     controller.abort();
   };
 };
--- a/packages/router/src/upstreams/connectionPools.ts
+++ b/packages/router/src/upstreams/connectionPools.ts
@@ -27,6 +27,8 @@
    * it, so that the end is the upstream's own.
    */
   readonly verifyEnd: () => Promise<boolean> | null;
+  /** Lets what has arrived on the connections be read before work starts. */
+  readonly barrier: inputBarrier.InputBarrier;
   /** Memory for answers that wait until they can be passed on. */
   readonly buffers: bufferBudget.BufferBudget;
   readonly close: () => Promise<void>;
@@ -199,6 +201,7 @@
     },
     wasReset: closing.wasReset,
     verifyEnd: closing.verifyEnd,
+    barrier,
     buffers,
     close: async () => {
       await Promise.all(Array.from(pools.values()).map((pool) => pool.destroy()));
