--- a/packages/router/__tests__/heldConfirmations.spec.ts
+++ b/packages/router/__tests__/heldConfirmations.spec.ts
@@ -51,6 +51,7 @@
     wasReset: () => false,
     verifyEnd: () => null,
     buffers: bufferBudget.makeBufferBudget(),
+    barrier,
     close: () => Promise.resolve(),
   };
   routedAttempt.startRoutedAttempt(
