--- a/packages/router/src/routed/sharedStore.ts
+++ b/packages/router/src/routed/sharedStore.ts
@@ -39,6 +39,7 @@
  * wider than that of a reader with many routers behind it.
  */
 const MAX_RELAYED_SIZE = 65_536;
+
 /** Reads of the store that routers share. */
 export interface SharedStore {
   /** The store, which is read through another router where there is one that reads for this one. */
@@ -260,7 +261,7 @@
     isFirst: boolean,
     params: Omit<messages.PeerParams<'waitForPrefix'>, 'ageMs'>,
   ): Promise<messages.PeerResult<'waitForPrefix'>> => {
-    // While all sources fail, a reader that fails too holds the call until it hears from the store, or this router asks it.
+    // While all sources fail, the first reader holds the call until it hears from the store, or this router asks it.
     const longestMs = isFailing
       ? Math.max(0, directFailedUntilMs - performance.now())
       : Math.min(params.waitMs, getTimeLeftMs());
