fix(router): a refresh joins the read of the store that is under way, and nothing is followed before it has been applied

What callers saw: a router that starts could put an upstream that leaves back in use, and send to it until its entry went, with a list that counted as confirmed; a router that read the store again after a gap sent by the old list meanwhile, however old it was.

While a gap was read, a refresh returned at once, as if the store did not answer; two polls that found the gap read all keys twice.

--- a/packages/router/src/routed/prefixFeed.ts
+++ b/packages/router/src/routed/prefixFeed.ts
@@ -34,7 +34,7 @@
   readonly getTimeSinceOutageMs: () => number;
   /**
    * Confirms what is known, or learns what has changed, now, if the store answers; the clock tells. Concurrent calls share
-   * one; none is made while the store is known not to answer.
+   * one, or join a read that is under way; none is made while the store is known not to answer.
    */
   readonly refresh: () => Promise<void>;
   readonly stop: () => void;
@@ -148,7 +148,6 @@
     }
     ({ era } = snapshot.value);
     seenRevision = snapshot.value.revision;
-    position = { revision: seenRevision, era };
     aheadRevisions = new Map(
       snapshot.value.entries
         .filter(({ revision }) => revision > seenRevision)
@@ -160,12 +159,21 @@
         restoredRevision === null ? null : { isFirst: isRestored, revision: restoredRevision },
       )
       .catch((error: unknown) => log.error({ error, prefix }, 'entries not applied'));
+    position = { revision: seenRevision, era };
     confirm(reading, snapshot.value.currentAfterMs ?? 0);
     resolveFirstRead();
     return null;
   };
+  let pendingRead: ReturnType<typeof readOnce> | null = null;
+  /** Reads the prefix, or joins the read that is under way; changes are followed after it has been applied. */
+  const readShared = (): ReturnType<typeof readOnce> => {
+    pendingRead ??= readOnce().finally(() => {
+      pendingRead = null;
+    });
+    return pendingRead;
+  };
   const readAll = async (): Promise<void> => {
-    const error = await readOnce();
+    const error = await readShared();
     if (error !== null) {
       await backOff(error);
     }
@@ -208,18 +216,18 @@
       await backOff(error);
     }
   };
-  const pollNow = async (after: Position): Promise<void> => {
-    const error = await pollOnce(after, SHORT_WAIT_MS);
+  const pollNow = async (): Promise<void> => {
+    const error = position === null ? null : await pollOnce(position, SHORT_WAIT_MS);
     if (error === null && position === null) {
-      await readOnce();
+      await readShared();
     }
   };
   let refreshing: Promise<void> | null = null;
   const refresh = (): Promise<void> => {
-    if (failures > 0 || position === null) {
+    if (failures > 0) {
       return Promise.resolve();
     }
-    refreshing ??= pollNow(position).finally(() => {
+    refreshing ??= pollNow().finally(() => {
       refreshing = null;
     });
     return refreshing;
