fix(router): a reader whose history is too short is asked again

What callers saw: after a change of more than 262,144 characters, as a configuration with many more routes, all routers polled the store themselves for as long as news may take, and logged their sound readers as outdated.

Cause: an answer without a complete history counted as one of an outdated reader, which is avoided.

Change: what may be missing is asked of the store, and the reader is asked for what comes after it.

Evidence: the new test of sharedStoreAges.spec.ts failed before (2 calls to the store instead of 1) and passes now.

Why it works: the reader is as recent as any; only the changes before those that it keeps have to come from elsewhere.

--- a/packages/router/__tests__/sharedStoreAges.spec.ts
+++ b/packages/router/__tests__/sharedStoreAges.spec.ts
@@ -186,3 +186,23 @@
   await shared.delay.wait(NEWS_MS / 2);
   t.true(reads <= 2, `${reads} reads`);
 });
+
+test('a reader whose history is too short for a large change is asked again after it', async (t) => {
+  const change: Waited = shared.outcome.makeOk({
+    era: 1,
+    revision: 6,
+    changes: [{ key: 'op/config', value: 'x'.repeat(300_000), revision: 6 }],
+  });
+  const reader = makeReads(async () => change);
+  await reader.store.readPrefix(ALL);
+  await reader.store.waitForChanges(ALL, 5, 1);
+  let calls = 0;
+  const follower = makeReads(async () => {
+    calls += 1;
+    return change;
+  }, makePeerClient(reader));
+  await follower.store.readPrefix(ALL);
+  await follower.store.waitForChanges(ALL, 5, 1);
+  await follower.store.waitForChanges(ALL, 6, 1);
+  t.is(calls, 1);
+});
--- a/packages/router/src/routed/sharedStore.ts
+++ b/packages/router/src/routed/sharedStore.ts
@@ -90,6 +90,8 @@
 interface ReplyChecks<T> {
   /** Returns whether it shows an earlier state than the known one. */
   readonly isBehind?: (reply: T) => boolean;
+  /** Returns whether changes may be missing; the store's history may be longer. */
+  readonly isIncomplete?: (reply: T) => boolean;
   readonly hasChanges?: (reply: T) => boolean;
 }
 
@@ -169,7 +171,11 @@
    */
   const askReaders = async <T extends ReaderReply>(
     ask: (address: string, isFirst: boolean) => Promise<T | null>,
-    { isBehind = () => false, hasChanges = () => false }: ReplyChecks<T>,
+    {
+      isBehind = () => false,
+      isIncomplete = () => false,
+      hasChanges = () => false,
+    }: ReplyChecks<T>,
   ): Promise<T | null> => {
     const readers = listReaders().filter(
       (address) => (avoidedUntilMs.get(address) ?? -Infinity) < performance.now(),
@@ -189,12 +195,13 @@
       if (isRecent) {
         recordStoreAnswer();
       }
-      if (reply !== null && (hasChanges(reply) || (isRecent && !isBehind(reply)))) {
+      const isSound = isRecent && !isBehind(reply);
+      if (reply !== null && (hasChanges(reply) || (isSound && !isIncomplete(reply)))) {
         recordSource(address);
         return reply;
       }
       // A reader that fails is asked again, since it tells at once when the store answers.
-      if (reply === null || !reply.isFailing) {
+      if (reply === null || !(reply.isFailing || isSound)) {
         avoid(address, reply?.ageMs ?? null, askedAtMs);
       }
     }
@@ -304,9 +311,9 @@
     const reply = await askReaders(
       (address, isFirst) => askToWait(address, isFirst, { prefix, after, waitMs }),
       {
-        // A reader whose history is too short is of no use: the store's may be longer.
         isBehind: ({ changes }) =>
-          changes === null || known.isBehind({ era: changes.era, revision: Infinity }),
+          changes !== null && known.isBehind({ era: changes.era, revision: Infinity }),
+        isIncomplete: ({ changes }) => changes === null,
         hasChanges: ({ changes }) =>
           changes !== null && changes.changes.length > 0 && known.isOfSameEra(changes),
       },
