fix(router): a reader that fails passes on what it knows to routers that fail as well

While the store answered neither a reader nor a router that follows it, changes that the reader had heard before were kept from the router for up to the time within which news is due.

Cause: a call of a failing router to a failing reader waited for a change of that state only.

Change: known changes are told first, whatever the state.

Evidence: the new test of sharedStoreAges.spec.ts failed before (2,001 ms of a wait of 2,000) and passes now.

Why it works: changes are true whatever their age, and once they are told, the next call waits as before.

--- a/packages/router/__tests__/sharedStoreAges.spec.ts
+++ b/packages/router/__tests__/sharedStoreAges.spec.ts
@@ -206,3 +206,15 @@
   await follower.store.waitForChanges(ALL, 6, 1);
   t.is(calls, 1);
 });
+
+test('a reader that fails tells a router that fails as well what that one has missed', async (t) => {
+  const told = [NEWS];
+  const reader = makeReads(async () => told.shift() ?? FAILED);
+  await reader.store.readPrefix(ALL);
+  await reader.store.waitForChanges(ALL, 5, 1);
+  await reader.store.waitForChanges(ALL, 6, 1);
+  const params = { prefix: ALL, waitMs: NEWS_MS, ageMs: NEWS_MS, isFailing: true };
+  const reply = await reader.serveWait({ ...params, after: 5 });
+  t.is(reply?.changes?.changes.length, 1);
+  t.true((reply?.heldMs ?? Infinity) < NEWS_MS / 2, `${Math.round(reply?.heldMs ?? -1)} ms`);
+});
--- a/packages/router/src/routed/sharedStore.ts
+++ b/packages/router/src/routed/sharedStore.ts
@@ -359,14 +359,16 @@
       }
       const startedAtMs = performance.now();
       const isNews = (): boolean => {
+        const changes = known.listAfter(after, prefix);
+        if (changes !== null && changes.changes.length > 0) {
+          return true;
+        }
         if (isFailing || isAskerFailing) {
           return isFailing !== isAskerFailing;
         }
-        const changes = known.listAfter(after, prefix);
         const confirmedMs = (ageMs ?? Infinity) + performance.now() - startedAtMs;
         return (
           changes === null ||
-          changes.changes.length > 0 ||
           // A confirmation is worth an answer only if it is clearly newer than the asking router's own.
           confirmedMs - clock.getAgeMs() > waitMs / 2
         );
