fix(router): a read of the store that a restoration has overtaken is dropped before it takes the age from what is known

What callers saw: nothing directly. A router told the routers that follow it nothing until the next confirmation, and they avoided it.

Cause: a read of another era than the known one forgot all confirmations, also where it was of an earlier era and not applied. Two reads at once can show that; a feed makes one at a time by now, so this keeps the rule in one place rather than curing a fault that is still seen.

Change: a read that is behind what is known is left out altogether.

Evidence: the new test of sharedStoreAges.spec.ts failed before (undefined instead of era 2) and passes now.

Why it works: what is known, and when it was confirmed, change together or not at all.

--- a/packages/router/__tests__/sharedStoreAges.spec.ts
+++ b/packages/router/__tests__/sharedStoreAges.spec.ts
@@ -38,7 +38,8 @@
   wait: () => Promise<Waited>,
   client: Partial<rpcClient.RpcClient> | null = null,
   hasReaders: () => boolean = () => client !== null,
-  read: () => stores.prefixStore.PrefixSnapshot = () => makeSnapshot(1, 'live'),
+  read: () => stores.prefixStore.PrefixSnapshot | Promise<stores.prefixStore.PrefixSnapshot> = () =>
+    makeSnapshot(1, 'live'),
 ): sharedStore.SharedStore => {
   const runtime = routerRuntime.makeRuntime(
     core.routerState.makeState({ routerId: 'z', zone: 'a', address: 'z:1', ledgerCapacity: 1 }),
@@ -64,7 +65,7 @@
       getNewsMs: () => NEWS_MS,
     },
     {
-      readPrefix: async () => shared.outcome.makeOk(read()),
+      readPrefix: async () => shared.outcome.makeOk(await read()),
       waitForChanges: wait,
     } as unknown as stores.prefixStore.PrefixStore,
   );
@@ -218,3 +219,23 @@
   t.is(reply?.changes?.changes.length, 1);
   t.true((reply?.heldMs ?? Infinity) < NEWS_MS / 2, `${Math.round(reply?.heldMs ?? -1)} ms`);
 });
+
+test('a read that a restoration of the store has overtaken does not take the age from what is known', async (t) => {
+  let answerOvertaken: (snapshot: stores.prefixStore.PrefixSnapshot) => void = () => undefined;
+  const overtaken = new Promise<stores.prefixStore.PrefixSnapshot>((resolve) => {
+    answerOvertaken = resolve;
+  });
+  const answers = [makeSnapshot(1, 'live'), overtaken, makeSnapshot(2, 'live')];
+  const reads = makeReads(
+    async () => FAILED,
+    null,
+    () => false,
+    () => answers.shift() ?? makeSnapshot(2, 'live'),
+  );
+  await reads.store.readPrefix(ALL);
+  const late = reads.store.readPrefix(ALL);
+  await reads.store.readPrefix(ALL);
+  answerOvertaken(makeSnapshot(1, 'live'));
+  await late;
+  t.is(reads.serveRead({ prefix: ALL })?.snapshot.era, 2);
+});
--- a/packages/router/src/routed/sharedStore.ts
+++ b/packages/router/src/routed/sharedStore.ts
@@ -249,11 +249,14 @@
             currentAfterMs: -reply.ageMs,
           });
     record(started, outcome, (snapshot) => {
+      if (known.isBehind(snapshot)) {
+        return false;
+      }
       if (!known.isOfSameEra(snapshot)) {
         clock.reset();
       }
       known.replace(snapshot);
-      return !known.isBehind(snapshot);
+      return true;
     });
     return outcome.ok && reply === null
       ? shared.outcome.makeOk({
