fix(core): a router that hears no peer leaves the outcome of a roll-out to its peers

What callers saw: a router that stood still and answers again right before the end of a roll-out ended it by what it held from before: it rolled back a good version that its peers had tried meanwhile, or completed one of which they knew more.

Cause: whether a router has all evidence was told by its role alone (fleet of up to 12, or aggregator), without the age of what it holds. Counts of all routers from before the pause were taken for current ones in the same way.

Change: a router has all evidence only if it gets it by its role and has heard a report within 2.5 s (the age above which a report was ignored already), or has had no peer in the roll-out. Else it decides 0.3 s before the end, as the routers without that role do, and while peers are members it does not take silence about the version for proof that nobody tried it. A router whose peers are all gone decides as before, from 0.3 s before the end.

Ways weighed: a report from every member (a frozen or cut-off one would keep the whole fleet from deciding early); a timer on the router's own pauses (a cut is none); any report within its age (taken: one peer that reports shows that the router is in touch).

A bad version is not completed by it: the change takes decisions away or delays them, and adds none.

--- a/packages/core/__tests__/rolloutEvidence.spec.ts
+++ b/packages/core/__tests__/rolloutEvidence.spec.ts
@@ -104,6 +104,25 @@
   return fleet.map(({ id }) => outcomes.get(id) ?? []);
 };
 
+/** Sends a peer's report on good answers of both versions. */
+const sendEvidence = (router: rolloutFleet.FleetRouter, newAnswers: number, atMs: number): void => {
+  const { service, to, revision } = rolloutFleet.ORDER;
+  const makeRow = (isNew: boolean, answers: number): core.canaryEvidence.EvidenceRow => ({
+    epoch: Math.floor(atMs / core.canaryEvidence.EPOCH_MS),
+    kind: 'read|',
+    measure: 'answer',
+    isNew,
+    answers,
+    failures: 0,
+    logSum: 0,
+    logSquareSum: 0,
+    timed: answers,
+  });
+  const rows = [makeRow(false, 200), ...(newAnswers > 0 ? [makeRow(true, newAnswers)] : [])];
+  const report = { source: 'peer', service, to, revision, isBad: false, rows, oldRunning: 0 };
+  router.send({ type: 'canaryReportReceived', ...report, ageMs: atMs, isWitnessed: true }, atMs);
+};
+
 rolloutFleet.FLEET_SIZES.forEach((size) => {
   test(`of ${size} routers, one that was declared dead while it stood still rolls no good version back`, (t) => {
     const [stopped = [], ...others] = simulateRollout(makeFleet(size));
@@ -111,6 +130,30 @@
     t.false(others.flat().includes('rolledBack'));
     t.false(stopped.includes('rolledBack'));
   });
+
+  [0, 20].forEach((newAnswers) => {
+    test(`of ${size} routers, one that has heard no peer since it stood still leaves the outcome to them (${newAnswers} answers known)`, (t) => {
+      const [router, ...others] = makeFleet(size);
+      if (router === undefined) {
+        t.fail();
+        return;
+      }
+      rolloutFleet.sendObserved(router, 0, 0);
+      sendEvidence(router, newAnswers, STOPPED_AT_MS);
+      const { periodMs } = rolloutFleet.ORDER;
+      for (let atMs = STOPPED_AT_MS; atMs < periodMs - 300; atMs += STEP_MS) {
+        const isStopped = atMs > STOPPED_AT_MS && atMs < periodMs - 800;
+        t.deepEqual(isStopped ? [] : listProposed(router, atMs), []);
+      }
+      t.deepEqual(listProposed(router, periodMs - 100), newAnswers === 0 ? [] : ['completed']);
+      others.forEach((peer) => sendDeath(router, peer, periodMs));
+      // With no peer left that could decide, it does.
+      t.deepEqual(
+        listProposed(router, periodMs + 1_000),
+        newAnswers === 0 ? ['rolledBack'] : ['completed'],
+      );
+    });
+  });
 });
 
 test('a member that was declared dead and answers is a member again', (t) => {
--- a/packages/core/src/routed/canaryHandlers.ts
+++ b/packages/core/src/routed/canaryHandlers.ts
@@ -148,11 +148,13 @@
   canary: canaryState.Canary,
   nowMs: number,
 ): transition.Transition => {
+  const isOutOfTouch = evidenceRoles.isOutOfTouch(current, canary, nowMs);
   const stage = canaryState.evaluateOutcome(
-    canary,
+    // Counts from before then do not tell whether others have tried the version since.
+    isOutOfTouch ? { ...canary, pooled: null } : canary,
     countPreviousInFlight(current, canary),
     nowMs,
-    evidenceRoles.hasAllEvidence(current),
+    evidenceRoles.hasAllEvidence(current, canary, nowMs),
     current.upstreams.some(
       ({ host }) => host.service === canary.order.service && host.version === canary.order.to,
     ),
@@ -201,7 +203,7 @@
     return canary;
   }
   const evaluated = canaryState.evaluateCanary({ ...canary, evaluatedAtMs: nowMs });
-  return evidenceRoles.hasAllEvidence(current)
+  return evidenceRoles.hasAllEvidence(current, canary, nowMs)
     ? canaryState.countPooled(evaluated, nowMs)
     : evaluated;
 };
--- a/packages/core/src/routed/canaryState.ts
+++ b/packages/core/src/routed/canaryState.ts
@@ -148,7 +148,7 @@
 const RATE_EPOCHS = 2;
 /** Answers that a version should have had by its share, from which none shows that it could not be tried. */
 const MIN_EXPECTED_ANSWERS = 5;
-/** Age above which a report of requests in flight on the previous versions is ignored, in milliseconds. */
+/** Age above which a report no longer tells what its sender knows, in milliseconds. */
 const IDLE_REPORT_MS = 2_500;
 /**
  * Time within which a router that knows the age of an order from wall clocks alone ends no roll-out by its schedule, in
@@ -399,6 +399,10 @@
     : canary;
 };
 
+/** Returns whether a peer has reported on a canary lately. */
+export const hasRecentReport = (canary: Canary, nowMs: number): boolean =>
+  canary.previousInFlight.some((report) => nowMs - report.atMs <= IDLE_REPORT_MS);
+
 /** Returns whether neither this router nor any recent report has requests in flight on the previous versions. */
 const isPreviousIdle = (canary: Canary, ownInFlight: number, nowMs: number): boolean =>
   ownInFlight === 0 &&
--- a/packages/core/src/routed/evidenceRoles.ts
+++ b/packages/core/src/routed/evidenceRoles.ts
@@ -1,6 +1,7 @@
 import * as memberTable from '../membership/memberTable.js';
 import * as zoneRoles from '../membership/zoneRoles.js';
 import type * as routerState from '../routerState.js';
+import * as canaryState from './canaryState.js';
 
 /** Largest fleet whose routers all report to each other; their number grows with the square of the fleet. */
 const MAX_DIRECT_ROUTERS = 12;
@@ -20,7 +21,28 @@
     .listRoleHolders(current.members, 'trialEvidence', zone, AGGREGATORS_PER_ZONE)
     .map((member) => member.address);
 
-/** Returns whether this router gets the evidence of all routers. */
-export const hasAllEvidence = (current: routerState.RouterState): boolean =>
-  !hasAggregators(current) ||
-  listAggregators(current, current.self.zone).includes(current.self.address);
+const hasPeers = (current: routerState.RouterState): boolean =>
+  memberTable.listActiveMembers(current.members).length > 0;
+
+/** Returns whether this router has peers and does not hear what they know of a roll-out, as after it stood still. */
+export const isOutOfTouch = (
+  current: routerState.RouterState,
+  canary: canaryState.Canary,
+  nowMs: number,
+): boolean => hasPeers(current) && !canaryState.hasRecentReport(canary, nowMs);
+
+/**
+ * Returns whether this router has the evidence of all routers: it is one of those that get it, and hears its peers or
+ * has had none in the roll-out.
+ */
+export const hasAllEvidence = (
+  current: routerState.RouterState,
+  canary: canaryState.Canary,
+  nowMs: number,
+): boolean => {
+  const hasRole =
+    !hasAggregators(current) ||
+    listAggregators(current, current.self.zone).includes(current.self.address);
+  const wasAlone = !hasPeers(current) && canary.previousInFlight.isEmpty();
+  return hasRole && (wasAlone || canaryState.hasRecentReport(canary, nowMs));
+};
