fix(core): a router that comes back in a roll-out gets the evidence that it missed

What callers could see: a version that is bad only while a router stands still could be completed by that router, which decides with its peers at the end and lacks the answers of that time.

Cause: each report holds the last three epochs. They make up for a lost report, not for five seconds without any.

Change: a member that has been active for less than the time that a report covers gets the evidence from the start of the roll-out; that is a router that starts, one that refuted its death, and one whose suspicion was cleared.

Ways weighed: remembering the gap and leaving the decision to others (counts and exposure stay wrong, and nobody decides early when several were away); all epochs in every report (their size grows with the period); all epochs to whoever comes back (taken).

--- a/packages/core/__tests__/rolloutEvidence.spec.ts
+++ b/packages/core/__tests__/rolloutEvidence.spec.ts
@@ -69,6 +69,7 @@
  */
 const simulateRollout = (
   fleet: readonly rolloutFleet.FleetRouter[],
+  toMs: number = rolloutFleet.ORDER.periodMs,
 ): readonly (readonly string[])[] => {
   const [stopped, ...others] = fleet;
   if (stopped === undefined) {
@@ -76,7 +77,7 @@
   }
   fleet.forEach((router) => rolloutFleet.sendObserved(router, 0, 0));
   const outcomes = new Map<string, readonly string[]>();
-  for (let atMs = 0; atMs < rolloutFleet.ORDER.periodMs; atMs += STEP_MS) {
+  for (let atMs = 0; atMs < toMs; atMs += STEP_MS) {
     const isStopped = atMs >= STOPPED_AT_MS && atMs < RETURNED_AT_MS;
     const running = isStopped ? others : fleet;
     if (atMs === DECLARED_DEAD_AT_MS) {
@@ -104,6 +105,16 @@
   return fleet.map(({ id }) => outcomes.get(id) ?? []);
 };
 
+/** Counts the answers that a router knows from the time for which the first router stood still. */
+const countAnswers = (router: rolloutFleet.FleetRouter | undefined): number => {
+  const canary = router?.getState().routed.canaries.get(rolloutFleet.ORDER.service);
+  const rows = Array.from(canary?.rows.values() ?? []).map(({ row }) => row);
+  const toEpoch = (atMs: number): number => atMs / core.canaryEvidence.EPOCH_MS;
+  return core.canaryEvidence.sumRows(
+    rows.filter(({ epoch }) => epoch >= toEpoch(STOPPED_AT_MS) && epoch < toEpoch(RETURNED_AT_MS)),
+  ).answers;
+};
+
 /** Sends a peer's report on good answers of both versions. */
 const sendEvidence = (router: rolloutFleet.FleetRouter, newAnswers: number, atMs: number): void => {
   const { service, to, revision } = rolloutFleet.ORDER;
@@ -131,6 +142,14 @@
     t.false(stopped.includes('rolledBack'));
   });
 
+  // It takes part in the decision, and a version may be bad only for as long as it stood still.
+  test(`of ${size} routers, one that was declared dead while it stood still gets the evidence of that time`, (t) => {
+    const fleet = makeFleet(size);
+    simulateRollout(fleet, RETURNED_AT_MS + 1_000);
+    t.true(countAnswers(fleet[1]) > 0);
+    t.is(countAnswers(fleet[0]), countAnswers(fleet[1]));
+  });
+
   [0, 20].forEach((newAnswers) => {
     test(`of ${size} routers, one that has heard no peer since it stood still leaves the outcome to them (${newAnswers} answers known)`, (t) => {
       const [router, ...others] = makeFleet(size);
--- a/packages/core/src/routed/canaryReports.ts
+++ b/packages/core/src/routed/canaryReports.ts
@@ -13,6 +13,8 @@
 
 /** Epochs of evidence in each report; they overlap, so that the next report makes up for a lost one. */
 const REPORT_EPOCHS = 3;
+/** Time for which a member that is new, or has come back, gets all epochs, in milliseconds. */
+const ALL_EPOCHS_MS = REPORT_EPOCHS * canaryEvidence.EPOCH_MS;
 /** Prefix of the source of a report that holds a zone's sums. */
 const ZONE_SOURCE = 'zone:';
 
@@ -37,10 +39,11 @@
 const makeOwnReport = (
   current: routerState.RouterState,
   canary: canaryState.Canary,
+  epochs: number,
   nowMs: number,
 ): canaryState.CanaryReport => {
   const { routerId } = current.self;
-  const rows = canaryState.listRecentRows(canary, new Set([routerId]), REPORT_EPOCHS, nowMs);
+  const rows = canaryState.listRecentRows(canary, new Set([routerId]), epochs, nowMs);
   const oldRunning = canaryHandlers.countPreviousInFlight(current, canary);
   return makeReport(canary, routerId, rows, oldRunning, nowMs);
 };
@@ -51,13 +54,14 @@
 const makeZoneReport = (
   current: routerState.RouterState,
   canary: canaryState.Canary,
+  epochs: number,
   nowMs: number,
 ): canaryState.CanaryReport => {
   const sources = memberTable
     .listZoneMembers(current.members, current.self.zone)
     .map((member) => member.id)
     .concat(current.self.routerId);
-  const rows = canaryState.listRecentRows(canary, new Set(sources), REPORT_EPOCHS, nowMs);
+  const rows = canaryState.listRecentRows(canary, new Set(sources), epochs, nowMs);
   const oldRunning = canary.previousInFlight
     .filter((_, source) => !isZoneSource(source))
     .reduce(
@@ -82,6 +86,33 @@
   return { ...makeReport(canary, source, [], oldRunning, nowMs), pooled: canary.pooled };
 };
 
+/**
+ * Plans reports to members. One that has been active for less than the time that a report covers may lack what came
+ * before, and gets the evidence from the start of the roll-out.
+ */
+const planReportsTo = (
+  current: routerState.RouterState,
+  addresses: readonly string[],
+  makeReportOf: (epochs: number) => canaryState.CanaryReport,
+  nowMs: number,
+): readonly AddressedReport[] => {
+  const newcomers = new Set(
+    memberTable
+      .listActiveMembers(current.members)
+      .filter(({ sinceMs }) => nowMs - sinceMs < ALL_EPOCHS_MS)
+      .map(({ address }) => address),
+  );
+  const planFor = (isNew: boolean, epochs: number): readonly AddressedReport[] => {
+    const receivers = addresses.filter((address) => newcomers.has(address) === isNew);
+    if (receivers.length === 0) {
+      return [];
+    }
+    const report = makeReportOf(epochs);
+    return receivers.map((address) => ({ address, report }));
+  };
+  return [...planFor(false, REPORT_EPOCHS), ...planFor(true, Infinity)];
+};
+
 /** Plans the reports of a large fleet: to the own zone's aggregators, and from them to those of other zones. */
 const planZoneReports = (
   current: routerState.RouterState,
@@ -89,22 +120,26 @@
   nowMs: number,
 ): readonly AddressedReport[] => {
   const { zone, address: ownAddress } = current.self;
-  const own = makeOwnReport(current, canary, nowMs);
   const aggregators = evidenceRoles.listAggregators(current, zone);
-  const toOwnZone = aggregators
-    .filter((address) => address !== ownAddress)
-    .map((address) => ({ address, report: own }));
+  const toOwnZone = planReportsTo(
+    current,
+    aggregators.filter((address) => address !== ownAddress),
+    (epochs) => makeOwnReport(current, canary, epochs, nowMs),
+    nowMs,
+  );
   if (!aggregators.includes(ownAddress)) {
     return toOwnZone;
   }
-  const report = makeZoneReport(current, canary, nowMs);
   const zones = new Set(
     memberTable.listActiveMembers(current.members).map((member) => member.zone),
   );
   zones.delete(zone);
-  const toOtherZones = Array.from(zones)
-    .flatMap((other) => evidenceRoles.listAggregators(current, other))
-    .map((address) => ({ address, report }));
+  const toOtherZones = planReportsTo(
+    current,
+    Array.from(zones).flatMap((other) => evidenceRoles.listAggregators(current, other)),
+    (epochs) => makeZoneReport(current, canary, epochs, nowMs),
+    nowMs,
+  );
   const counts = makeCountsReport(current, canary, nowMs);
   const toMembers = memberTable
     .listZoneMembers(current.members, zone)
@@ -123,8 +158,12 @@
   if (evidenceRoles.hasAggregators(current)) {
     return planZoneReports(current, canary, nowMs);
   }
-  const report = makeOwnReport(current, canary, nowMs);
-  return memberTable.listActiveMembers(current.members).map(({ address }) => ({ address, report }));
+  return planReportsTo(
+    current,
+    memberTable.listActiveMembers(current.members).map(({ address }) => address),
+    (epochs) => makeOwnReport(current, canary, epochs, nowMs),
+    nowMs,
+  );
 };
 
 /**
