fix(core): probes repeat which upstreams say that they leave

An upstream that says in its answers that it leaves got a request from each router that the news of its peer had not reached: the news was told once, and neither repeated nor told to routers that joined later. Guards and rate limits are repeated in probes for this reason; the leaving was not.

A probe and its answer now carry, as an optional field, which processes have said within 30 s that they leave, and in the answer to a router that joins all that are remembered. The field bears ages, as the others, so that a process without a known start time is forgotten 30 s after its word however often it is repeated, and at most 512 processes.

Weighed: acknowledged alerts that are sent again (they do not reach a router that starts later), and a record in the store (which may be silent or go back to a copy, the very cases of the tests).

Evidence: the three tests in the reducer saw the upstream live at the other router on.

--- a/packages/core/__tests__/upstreamNotices.spec.ts
+++ b/packages/core/__tests__/upstreamNotices.spec.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import * as fc from 'fast-check';
 import * as core from '../src/index.js';
+import type * as fixtures from './fixtures.js';
 import * as routedFixtures from './routedFixtures.js';
 
 const IDS = ['u1', 'u22', 'u333'] as const;
@@ -102,3 +103,60 @@
   t.is(core.leavingProcesses.applyLeaving(leaving, host, 1_000).state, 'leaving');
   t.is(core.leavingProcesses.applyLeaving(leaving, host, 60_000).state, 'live');
 });
+
+/** Makes a router to which an upstream has said that it leaves. */
+const makeInformedDriver = (host = routedFixtures.makeHost('u1')): fixtures.Driver => {
+  const driver = routedFixtures.makeRoutedDriver(IDS);
+  driver.send({ type: 'hostChanged', host }, 0);
+  driver.send({ type: 'noticeObserved', upstreamId: host.id, isLeaving: true, restMs: null }, 0);
+  return driver;
+};
+
+/** Tells a router what another one passes on in a probe, as it is written in the message. */
+const sendGossip = (
+  from: fixtures.Driver,
+  to: fixtures.Driver,
+  nowMs: number,
+  isJoining = false,
+): void => {
+  const message = core.membership.makeGossipMessage(from.getState(), [], nowMs, isJoining);
+  to.send(
+    {
+      type: 'gossipReceived',
+      message: JSON.parse(JSON.stringify(message)) as core.events.GossipMessage,
+    },
+    nowMs,
+  );
+};
+
+const getHostState = (driver: fixtures.Driver, id: string): string | undefined =>
+  driver.getState().upstreams.get(id)?.host.state;
+
+test('a router that was not told when an upstream said that it leaves hears of it with the next probe', (t) => {
+  const other = routedFixtures.makeRoutedDriver(IDS);
+  sendGossip(makeInformedDriver(), other, 1_000);
+  t.is(getHostState(other, 'u1'), 'leaving');
+  t.is(getHostState(other, 'u22'), 'live');
+});
+
+test('a router that joins hears of upstreams that said long ago that they leave', (t) => {
+  const other = routedFixtures.makeRoutedDriver(IDS);
+  sendGossip(makeInformedDriver(), other, 120_000, true);
+  t.is(getHostState(other, 'u1'), 'leaving');
+});
+
+test('routers do not tell each other for ever of a process without a known start time', (t) => {
+  const { bornAtMs, ...host } = routedFixtures.makeHost('u1');
+  t.is(bornAtMs, 1);
+  const informed = makeInformedDriver(host);
+  const other = routedFixtures.makeRoutedDriver(IDS);
+  other.send({ type: 'hostChanged', host }, 0);
+  sendGossip(informed, other, 29_000);
+  t.is(getHostState(other, 'u1'), 'leaving');
+  sendGossip(other, informed, 31_000, true);
+  // Another process may have the id and address by then.
+  [informed, other].forEach((driver) => {
+    driver.send({ type: 'hostChanged', host }, 31_000);
+    t.is(getHostState(driver, 'u1'), 'live');
+  });
+});
--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -1,7 +1,7 @@
 import type * as shared from '@jayrock/shared';
 import type * as claimLog from './claims/claimLog.js';
 import type * as events from './events.js';
-import type * as noticeHandlers from './notices/noticeHandlers.js';
+import type * as leavingNews from './notices/leavingNews.js';
 import type * as rateLimitNews from './rateLimits/rateLimitNews.js';
 import type * as guardNews from './routed/guardNews.js';
 import type * as canaryState from './routed/canaryState.js';
@@ -98,7 +98,7 @@
   /** Tells all peers what this router knows about requests that crash upstreams. */
   readonly broadcastGuardNews: { readonly news: guardNews.GuardNews };
   /** Tells all peers about a limit that an upstream names, or that has ended. */
-  readonly broadcastLeavingNews: { readonly news: readonly noticeHandlers.LeavingNews[] };
+  readonly broadcastLeavingNews: { readonly news: readonly leavingNews.LeavingNews[] };
   readonly broadcastRateLimitNews: { readonly news: readonly rateLimitNews.RateLimitNews[] };
   /** Asks the allocator of an upstream for permits to send requests. */
   readonly requestPermits: {
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -1,7 +1,7 @@
 import type * as shared from '@jayrock/shared';
 import type * as claimLog from './claims/claimLog.js';
 import type * as demand from './orders/demand.js';
-import type * as noticeHandlers from './notices/noticeHandlers.js';
+import type * as leavingNews from './notices/leavingNews.js';
 import type * as rateLimitNews from './rateLimits/rateLimitNews.js';
 import type * as guardNews from './routed/guardNews.js';
 import type * as member from './membership/member.js';
@@ -63,7 +63,7 @@
     readonly maxTurnAways?: number | null;
   };
   /** Another router knows upstreams that leave. */
-  readonly leavingNewsReceived: { readonly news: readonly noticeHandlers.LeavingNews[] };
+  readonly leavingNewsReceived: { readonly news: readonly leavingNews.LeavingNews[] };
   /** Another router knows limits that upstreams name. */
   readonly rateLimitNewsReceived: { readonly news: readonly rateLimitNews.RateLimitNews[] };
   /** Another router asks this one, as the upstream's allocator, for permits to send requests. */
@@ -241,6 +241,8 @@
   readonly guardNews?: guardNews.GuardNews;
   /** Limits that upstreams name, and those that have ended recently; routers of older versions send none. */
   readonly rateLimitNews?: readonly rateLimitNews.RateLimitNews[];
+  /** Upstreams that said of late, and for a router that has just joined all that said, that they leave; as above. */
+  readonly leavingNews?: readonly leavingNews.LeavingNews[];
 }
 
 /** Ratings of one version by one customer in one epoch. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -17,6 +17,7 @@
 export * as quarantine from './quarantine.js';
 export * as permits from './rateLimits/permits.js';
 export * as rateLimitNews from './rateLimits/rateLimitNews.js';
+export * as leavingNews from './notices/leavingNews.js';
 export * as leavingProcesses from './notices/leavingProcesses.js';
 export * as noticeHandlers from './notices/noticeHandlers.js';
 export * as restWait from './notices/restWait.js';
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -1,5 +1,7 @@
 import type * as effects from '../effects.js';
 import type * as events from '../events.js';
+import * as leavingNews from '../notices/leavingNews.js';
+import * as noticeHandlers from '../notices/noticeHandlers.js';
 import * as random from '../random.js';
 import * as rateLimitHandlers from '../rateLimits/rateLimitHandlers.js';
 import * as rateLimitNews from '../rateLimits/rateLimitNews.js';
@@ -24,8 +26,8 @@
   Math.max(0, nowMs - current.confirmedAtMs);
 
 /**
- * Builds the payload of a probe and of its answer: member updates, the configuration's generation, and the guards and
- * rate limits in force, which repairs lost broadcasts.
+ * Builds the payload of a probe and of its answer: member updates, the configuration's generation, the guards and rate
+ * limits in force, and which upstreams leave, which repairs lost broadcasts.
  */
 export const makeGossipMessage = (
   current: routerState.RouterState,
@@ -41,6 +43,9 @@
     ? guardNews.makeFullNews(current.routed.guard, nowMs)
     : guardNews.makeGuardNews(current.routed.guard, nowMs),
   rateLimitNews: rateLimitNews.makeNews(current, nowMs),
+  leavingNews: isJoining
+    ? leavingNews.makeFullNews(current.leaving, nowMs)
+    : leavingNews.makeNews(current.leaving, nowMs),
 });
 
 const makeProbe = (
@@ -164,13 +169,20 @@
   const merged = mergeUpdates(current, event.message, event.nowMs);
   const cleared = withMembers(merged, clearSuspicion(merged.members, event.message, event.nowMs));
   const compared = compareGeneration(cleared, event.message, event.nowMs);
-  const { guardNews: news = guardNews.NO_NEWS, rateLimitNews: limits = [] } = event.message;
+  const {
+    guardNews: news = guardNews.NO_NEWS,
+    rateLimitNews: limits = [],
+    leavingNews: leaving = [],
+  } = event.message;
   const limited = transition.composeTransition(compared, (next) =>
     rateLimitHandlers.mergeNews(next, limits, event),
   );
+  const left = transition.composeTransition(limited, (next) =>
+    noticeHandlers.mergeNews(next, leaving, event.nowMs),
+  );
   return guardNews.isEmpty(news)
-    ? limited
-    : transition.composeTransition(limited, (next) => routedCrashes.mergeNews(next, news, event));
+    ? left
+    : transition.composeTransition(left, (next) => routedCrashes.mergeNews(next, news, event));
 };
 
 /** Asks a few other members to probe a member that did not answer. */
--- a/packages/core/src/notices/leavingProcesses.ts
+++ b/packages/core/src/notices/leavingProcesses.ts
@@ -6,8 +6,8 @@
   /** Start time of the process, in Unix milliseconds, or null if it is not known. */
   readonly bornAtMs: number | null;
   readonly address: string;
-  /** Time from which the process is not remembered any more, in milliseconds. */
-  readonly untilMs: number;
+  /** Time at which it said so first, in milliseconds. */
+  readonly sinceMs: number;
 }
 
 /** Processes that have said that they leave, by the id of their upstream, the oldest first. */
@@ -23,15 +23,18 @@
 /** Largest number of processes that are remembered. */
 const MAX_PROCESSES = 4_096;
 
+/** Returns whether a process that said for a time that it leaves is still remembered. */
+export const isRemembered = (bornAtMs: number | null, ageMs: number): boolean =>
+  ageMs < (bornAtMs === null ? UNKNOWN_TTL_MS : KNOWN_TTL_MS);
+
 /** Remembers that the process of a host leaves. */
 export const addLeaving = (
   leaving: LeavingProcesses,
   host: shared.hosts.Host,
-  nowMs: number,
+  sinceMs: number,
 ): LeavingProcesses => {
   const bornAtMs = host.bornAtMs ?? null;
-  const untilMs = nowMs + (bornAtMs === null ? UNKNOWN_TTL_MS : KNOWN_TTL_MS);
-  const added = leaving.set(host.id, { bornAtMs, address: host.address, untilMs });
+  const added = leaving.set(host.id, { bornAtMs, address: host.address, sinceMs });
   return added.size > MAX_PROCESSES ? added.skip(added.size - MAX_PROCESSES) : added;
 };
 
@@ -44,7 +47,7 @@
   const known = leaving.get(host.id);
   return (
     known !== undefined &&
-    nowMs < known.untilMs &&
+    isRemembered(known.bornAtMs, nowMs - known.sinceMs) &&
     known.bornAtMs === (host.bornAtMs ?? null) &&
     known.address === host.address
   );
--- a/packages/core/src/notices/noticeHandlers.ts
+++ b/packages/core/src/notices/noticeHandlers.ts
@@ -4,28 +4,23 @@
 import * as routerState from '../routerState.js';
 import * as transition from '../transition.js';
 import * as brittleUpstreams from './brittleUpstreams.js';
+import type * as leavingNews from './leavingNews.js';
 import * as leavingProcesses from './leavingProcesses.js';
 import * as upstreamRest from './upstreamRest.js';
 
-/** A process that leaves, as routers tell each other. */
-export interface LeavingNews {
-  readonly upstreamId: string;
-  /** Start time of the process, in Unix milliseconds, or null if it is not known. */
-  readonly bornAtMs: number | null;
-}
-
-/** Takes an upstream that says that it leaves out of use. */
+/** Takes an upstream that has said for a time that it leaves out of use. */
 const markLeaving = (
   current: routerState.RouterState,
   upstreamId: string,
   nowMs: number,
+  ageMs = 0,
 ): transition.Transition => {
   const host = current.upstreams.get(upstreamId)?.host;
   if (host === undefined || leavingProcesses.isLeaving(current.leaving, host, nowMs)) {
     return transition.makeTransition(current);
   }
   const marked = routerState.updateUpstream(
-    { ...current, leaving: leavingProcesses.addLeaving(current.leaving, host, nowMs) },
+    { ...current, leaving: leavingProcesses.addLeaving(current.leaving, host, nowMs - ageMs) },
     upstreamId,
     (upstream) => ({ ...upstream, host: { ...host, state: 'leaving' } }),
   );
@@ -108,20 +103,28 @@
 };
 
 /** Applies the news of a peer, as far as they are about the processes that this router knows. */
+export const mergeNews = (
+  current: routerState.RouterState,
+  news: readonly leavingNews.LeavingNews[],
+  nowMs: number,
+): transition.Transition =>
+  news
+    .filter(({ bornAtMs, ageMs = 0 }) => leavingProcesses.isRemembered(bornAtMs, ageMs))
+    .reduce(
+      (result, { upstreamId, bornAtMs, ageMs }) =>
+        transition.composeTransition(result, (next) => {
+          const host = next.upstreams.get(upstreamId)?.host;
+          return host !== undefined && (host.bornAtMs ?? null) === bornAtMs
+            ? markLeaving(next, upstreamId, nowMs, ageMs)
+            : transition.makeTransition(next);
+        }),
+      transition.makeTransition(current),
+    );
+
 const handleNews = (
   current: routerState.RouterState,
   event: events.EventOf<'leavingNewsReceived'>,
-): transition.Transition =>
-  event.news.reduce(
-    (result, { upstreamId, bornAtMs }) =>
-      transition.composeTransition(result, (next) => {
-        const host = next.upstreams.get(upstreamId)?.host;
-        return host !== undefined && (host.bornAtMs ?? null) === bornAtMs
-          ? markLeaving(next, upstreamId, event.nowMs)
-          : transition.makeTransition(next);
-      }),
-    transition.makeTransition(current),
-  );
+): transition.Transition => mergeNews(current, event.news, event.nowMs);
 
 /** Handlers of what upstreams say of themselves in their answers. */
 export const HANDLERS = {
--- a/packages/router/src/peers/messages.ts
+++ b/packages/router/src/peers/messages.ts
@@ -57,7 +57,7 @@
       /** What the sender learned about routed requests; routers of older versions send none. */
       readonly guardNews?: core.guardNews.GuardNews;
       /** Upstreams that leave, as they told the sender; routers of older versions send none. */
-      readonly leavingNews?: readonly core.noticeHandlers.LeavingNews[];
+      readonly leavingNews?: readonly core.leavingNews.LeavingNews[];
       /** Limits of upstreams that the sender learned; routers of older versions send none. */
       readonly rateLimitNews?: readonly core.rateLimitNews.RateLimitNews[];
     };
--- a/packages/router/src/peers/peerService.ts
+++ b/packages/router/src/peers/peerService.ts
@@ -26,7 +26,7 @@
   /** Reports to all other routers what this router learned about routed requests that crash upstreams. */
   readonly broadcastGuardNews: (news: core.guardNews.GuardNews) => void;
   /** Tells all other routers about upstreams that leave. */
-  readonly broadcastLeavingNews: (news: readonly core.noticeHandlers.LeavingNews[]) => void;
+  readonly broadcastLeavingNews: (news: readonly core.leavingNews.LeavingNews[]) => void;
   /** Tells all other routers about limits of upstreams. */
   readonly broadcastRateLimitNews: (news: readonly core.rateLimitNews.RateLimitNews[]) => void;
   /** Asks the allocator of an upstream for permits. */
