fix(core): a peer's news of an upstream that leaves holds though its entry is missing at that time

An upstream that had told one router that it leaves got requests from another one: the other router dropped the news, since the entry had lapsed for it, was not yet read, or still showed the process before the restart. When the entry came back as ready, nothing was known of the leaving.

The start time tells a process from any other of its upstream, so the news is remembered by it, for as long as that of a listed process, and applied when an entry with that start time is listed. News of an earlier process does not replace that of a later one. Without a known start time it holds for listed processes only, as before.

Weighed: keeping removed upstreams in the state as tombstones (they would be counted and probed), and applying only what the own entry confirms (the fault).

--- a/packages/core/__tests__/upstreamNotices.spec.ts
+++ b/packages/core/__tests__/upstreamNotices.spec.ts
@@ -160,3 +160,34 @@
     t.is(getHostState(driver, 'u1'), 'live');
   });
 });
+
+test('an upstream whose entry was missing when a peer told that it leaves is not live when the entry is back', (t) => {
+  const driver = routedFixtures.makeRoutedDriver(IDS);
+  driver.send({ type: 'hostRemoved', hostId: 'u1' });
+  const news = [{ upstreamId: 'u1', bornAtMs: 1 }];
+  driver.send({ type: 'leavingNewsReceived', news }, 0);
+  driver.send({ type: 'hostChanged', host: routedFixtures.makeHost('u1') }, 1_000);
+  t.is(getHostState(driver, 'u1'), 'leaving');
+  driver.send({ type: 'hostChanged', host: routedFixtures.makeHost('u1', { bornAtMs: 2 }) }, 1_000);
+  t.is(getHostState(driver, 'u1'), 'live');
+});
+
+test('an upstream that leaves before its restart is listed is not live when it is', (t) => {
+  const driver = routedFixtures.makeRoutedDriver(IDS);
+  const news = [{ upstreamId: 'u1', bornAtMs: 2 }];
+  driver.send({ type: 'leavingNewsReceived', news }, 0);
+  t.is(getHostState(driver, 'u1'), 'live');
+  driver.send({ type: 'hostChanged', host: routedFixtures.makeHost('u1', { bornAtMs: 2 }) }, 1_000);
+  t.is(getHostState(driver, 'u1'), 'leaving');
+});
+
+test('news of an earlier process of an upstream does not replace what is known of the present one', (t) => {
+  const driver = routedFixtures.makeRoutedDriver(IDS);
+  const present = routedFixtures.makeHost('u1', { bornAtMs: 2 });
+  driver.send({ type: 'hostChanged', host: present }, 0);
+  driver.send({ type: 'noticeObserved', upstreamId: 'u1', isLeaving: true, restMs: null }, 0);
+  driver.send({ type: 'leavingNewsReceived', news: [{ upstreamId: 'u1', bornAtMs: 1 }] }, 0);
+  driver.send({ type: 'hostRemoved', hostId: 'u1' }, 0);
+  driver.send({ type: 'hostChanged', host: present }, 1_000);
+  t.is(getHostState(driver, 'u1'), 'leaving');
+});
--- a/packages/core/src/notices/leavingProcesses.ts
+++ b/packages/core/src/notices/leavingProcesses.ts
@@ -5,7 +5,8 @@
 export interface LeavingProcess {
   /** Start time of the process, in Unix milliseconds, or null if it is not known. */
   readonly bornAtMs: number | null;
-  readonly address: string;
+  /** Null if only its start time is known, which tells it from any other process of its upstream. */
+  readonly address: string | null;
   /** Time at which it said so first, in milliseconds. */
   readonly sinceMs: number;
 }
@@ -27,16 +28,37 @@
 export const isRemembered = (bornAtMs: number | null, ageMs: number): boolean =>
   ageMs < (bornAtMs === null ? UNKNOWN_TTL_MS : KNOWN_TTL_MS);
 
+const addProcess = (
+  leaving: LeavingProcesses,
+  upstreamId: string,
+  process: LeavingProcess,
+): LeavingProcesses => {
+  const added = leaving.set(upstreamId, process);
+  return added.size > MAX_PROCESSES ? added.skip(added.size - MAX_PROCESSES) : added;
+};
+
 /** Remembers that the process of a host leaves. */
 export const addLeaving = (
   leaving: LeavingProcesses,
   host: shared.hosts.Host,
   sinceMs: number,
-): LeavingProcesses => {
-  const bornAtMs = host.bornAtMs ?? null;
-  const added = leaving.set(host.id, { bornAtMs, address: host.address, sinceMs });
-  return added.size > MAX_PROCESSES ? added.skip(added.size - MAX_PROCESSES) : added;
-};
+): LeavingProcesses =>
+  addProcess(leaving, host.id, {
+    bornAtMs: host.bornAtMs ?? null,
+    address: host.address,
+    sinceMs,
+  });
+
+/** Remembers that a process leaves that is not listed, unless a later one of its upstream is known to leave. */
+export const addUnlisted = (
+  leaving: LeavingProcesses,
+  upstreamId: string,
+  bornAtMs: number,
+  sinceMs: number,
+): LeavingProcesses =>
+  (leaving.get(upstreamId)?.bornAtMs ?? -Infinity) < bornAtMs
+    ? addProcess(leaving, upstreamId, { bornAtMs, address: null, sinceMs })
+    : leaving;
 
 /** Returns whether a host shows a process that has said that it leaves. */
 export const isLeaving = (
@@ -49,7 +71,7 @@
     known !== undefined &&
     isRemembered(known.bornAtMs, nowMs - known.sinceMs) &&
     known.bornAtMs === (host.bornAtMs ?? null) &&
-    known.address === host.address
+    (known.address ?? host.address) === host.address
   );
 };
 
--- a/packages/core/src/notices/noticeHandlers.ts
+++ b/packages/core/src/notices/noticeHandlers.ts
@@ -102,7 +102,27 @@
     : rested;
 };
 
-/** Applies the news of a peer, as far as they are about the processes that this router knows. */
+/** Remembers what a peer tells of a process that is not listed, and may be listed later. */
+const recordUnlisted = (
+  current: routerState.RouterState,
+  { upstreamId, bornAtMs, ageMs = 0 }: leavingNews.LeavingNews,
+  nowMs: number,
+): transition.Transition =>
+  transition.makeTransition(
+    bornAtMs === null
+      ? current
+      : {
+          ...current,
+          leaving: leavingProcesses.addUnlisted(
+            current.leaving,
+            upstreamId,
+            bornAtMs,
+            nowMs - ageMs,
+          ),
+        },
+  );
+
+/** Applies the news of a peer; what it tells of a process without a known start time holds for listed ones only. */
 export const mergeNews = (
   current: routerState.RouterState,
   news: readonly leavingNews.LeavingNews[],
@@ -111,12 +131,12 @@
   news
     .filter(({ bornAtMs, ageMs = 0 }) => leavingProcesses.isRemembered(bornAtMs, ageMs))
     .reduce(
-      (result, { upstreamId, bornAtMs, ageMs }) =>
+      (result, item) =>
         transition.composeTransition(result, (next) => {
-          const host = next.upstreams.get(upstreamId)?.host;
-          return host !== undefined && (host.bornAtMs ?? null) === bornAtMs
-            ? markLeaving(next, upstreamId, nowMs, ageMs)
-            : transition.makeTransition(next);
+          const host = next.upstreams.get(item.upstreamId)?.host;
+          return host !== undefined && (host.bornAtMs ?? null) === item.bornAtMs
+            ? markLeaving(next, item.upstreamId, nowMs, item.ageMs)
+            : recordUnlisted(next, item, nowMs);
         }),
       transition.makeTransition(current),
     );
