--- a/packages/core/__tests__/rolloutEvidence.spec.ts
+++ b/packages/core/__tests__/rolloutEvidence.spec.ts
@@ -13,13 +13,20 @@
 /** Time of its last request; until the ramp its session keeps the previous version. */
 const LAST_REQUEST_AT_MS = 18_000;
 
-/** Serves a request that takes no time. */
-const serveRequest = (router: rolloutFleet.FleetRouter, session: string, atMs: number): void => {
+/** Serves a request that takes no time; a version that is bad answers it with an error. */
+const serveRequest = (
+  router: rolloutFleet.FleetRouter,
+  session: string | null,
+  atMs: number,
+  isBad = false,
+): void => {
   const requestId = `${router.id}-${atMs}`;
-  const call = routedFixtures.makeCall({ session, deadlineMs: 60_000 });
+  const call = routedFixtures.makeCall({ path: '/issue/', session, deadlineMs: 60_000 });
   router.send({ type: 'routedRequestArrived', requestId, call, tableAgeMs: 0, waitedMs: 0 }, atMs);
-  const attemptId = router.getState().requests.get(requestId)?.attempts[0]?.id ?? 0;
-  const head = { status: 200, confidence: null };
+  const attempt = router.getState().requests.get(requestId)?.attempts[0];
+  const attemptId = attempt?.id ?? 0;
+  const status = isBad && attempt?.upstreamId === 'on-v2' ? 500 : 200;
+  const head = { status, confidence: null };
   router.send({ type: 'routedHeadArrived', requestId, attemptId, head }, atMs);
   router.send({ type: 'routedAttemptEnded', requestId, attemptId, events: 0, streamMs: 0 }, atMs);
 };
@@ -64,12 +71,13 @@
     .flatMap((effect) => (effect.type === 'recordCanaryOutcome' ? [effect.stage] : []));
 
 /**
- * Simulates the roll-out of a good version, in which the first router of a fleet stands still; lists the outcomes that each
- * router proposes.
+ * Simulates a roll-out in which the first router of a fleet stands still, of a good version or of one that is bad for as long;
+ * lists the outcomes that each router proposes.
  */
 const simulateRollout = (
   fleet: readonly rolloutFleet.FleetRouter[],
   toMs: number = rolloutFleet.ORDER.periodMs,
+  isBadVersion = false,
 ): readonly (readonly string[])[] => {
   const [stopped, ...others] = fleet;
   if (stopped === undefined) {
@@ -91,9 +99,10 @@
     }
     running.forEach((router) => {
       if (router !== stopped) {
-        serveRequest(router, `s${atMs % SESSION_COUNT}`, atMs);
+        const session = isBadVersion ? null : `s${atMs % SESSION_COUNT}`;
+        serveRequest(router, session, atMs, isBadVersion && isStopped);
       } else if (atMs < LAST_REQUEST_AT_MS) {
-        serveRequest(router, 's0', atMs);
+        serveRequest(router, isBadVersion ? null : 's0', atMs);
       }
       const proposed = listProposed(router, atMs);
       outcomes.set(router.id, [...(outcomes.get(router.id) ?? []), ...proposed]);
@@ -142,6 +151,12 @@
     t.false(stopped.includes('rolledBack'));
   });
 
+  test(`of ${size} routers, one that was declared dead while it stood still completes no version that was bad then`, (t) => {
+    const outcomes = simulateRollout(makeFleet(size), rolloutFleet.ORDER.periodMs, true);
+    t.true(outcomes[1]?.includes('rolledBack'));
+    t.false(outcomes.flat().includes('completed'));
+  });
+
   // It takes part in the decision, and a version may be bad only for as long as it stood still.
   test(`of ${size} routers, one that was declared dead while it stood still gets the evidence of that time`, (t) => {
     const fleet = makeFleet(size);
