test(measure): a soak that breaks shows what happened to the router of the call

Change: the soak's routers keep their signals, ends and log lines; a violation is described with those from 5 s before the call, with its kind, the length of its answer and whether it came to its end. What counts as a violation is unchanged.

--- a/packages-private/measure/__tests__/soak.spec.ts
+++ b/packages-private/measure/__tests__/soak.spec.ts
@@ -96,6 +96,22 @@
   response?.isWhole === true &&
   response.body === (kind === 'talk' ? soakSite.STREAM_BODY : soakSite.renderAnswer(id));
 
+/** Time before and after a call for which the notes on its router are shown, in milliseconds. */
+const NOTES_BEFORE_MS = 5_000;
+const NOTES_AFTER_MS = 500;
+
+/** Describes what happened to the router of a call around it, and what the router logged about the call. */
+const describeNotes = ({ id, router, sentAtMs, endedAtMs }: soakSite.SoakCall): string =>
+  router.notes
+    .filter(
+      ({ atMs, text }) =>
+        atMs > sentAtMs - NOTES_BEFORE_MS &&
+        atMs < endedAtMs + NOTES_AFTER_MS &&
+        (!text.startsWith('{') || text.includes(`"${id}"`) || text.includes('"router sto')),
+    )
+    .map(({ atMs, text }) => `\n  ${Math.round(atMs - sentAtMs)} ms: ${text}`)
+    .join('');
+
 /** Lists what callers were promised and did not get. */
 const listViolations = (
   site: soakSite.SoakSite,
@@ -106,7 +122,7 @@
     .flatMap(({ arrived }) => arrived)
     .forEach((id) => runs.set(id, (runs.get(id) ?? 0) + 1));
   const describe = (call: soakSite.SoakCall, what: string): string =>
-    `${what}: ${call.id} at ${call.router.callers}, ${call.response?.status ?? 'no answer'} after ${Math.round(call.endedAtMs - call.sentAtMs)} ms, ${runs.get(call.id) ?? 0} runs`;
+    `${what}: ${call.kind} ${call.id} at ${call.router.callers}, ${call.response?.status ?? 'no answer'} after ${Math.round(call.endedAtMs - call.sentAtMs)} ms, ${call.response?.body.length ?? 0} characters${call.response?.isWhole === true ? ' to the end' : ''}, ${runs.get(call.id) ?? 0} runs${describeNotes(call)}`;
   return [
     ...site.problems,
     ...calls.flatMap((call) => {
--- a/packages-private/measure/__tests__/soakSite.ts
+++ b/packages-private/measure/__tests__/soakSite.ts
@@ -4,6 +4,7 @@
 import * as module from 'node:module';
 import * as os from 'node:os';
 import * as path from 'node:path';
+import * as readline from 'node:readline';
 import * as platform from '@jayrock/platform';
 import * as shared from '@jayrock/shared';
 import * as standIns from '@jayrock/stand-ins';
@@ -24,12 +25,20 @@
 const MAX_ANSWER_MS = 300;
 const DEADLINE_MS = 4_000;
 
+/** What happened to a router process, or what it logged. */
+export interface SoakNote {
+  readonly atMs: number;
+  readonly text: string;
+}
+
 /** A router process, which is started again whenever it ends. */
 export interface SoakRouter {
   readonly callers: string;
   readonly ready: string;
   /** Spans in which answers may be lost: the process was killed, or stood still. */
   readonly outages: { readonly fromMs: number; untilMs: number }[];
+  /** Signals and ends of its processes, and the lines that they logged. */
+  readonly notes: readonly SoakNote[];
   readonly signal: (signal: NodeJS.Signals) => void;
   /** Stops the process for a time in milliseconds, as a suspended machine does. */
   readonly freeze: (durationMs: number) => void;
@@ -110,6 +119,10 @@
       ),
     );
   const outages: { readonly fromMs: number; untilMs: number }[] = [];
+  const notes: SoakNote[] = [];
+  const addNote = (text: string): void => {
+    notes.push({ atMs: performance.now(), text });
+  };
   let child: childProcess.ChildProcess | null = null;
   let terminatedAtMs: number | null = null;
   let isKilled = false;
@@ -124,6 +137,7 @@
   });
   const handleExit = (code: number | null, name: NodeJS.Signals | null, errors: string): void => {
     const nowMs = performance.now();
+    addNote(`ended with ${code ?? name}`);
     child = null;
     if (terminatedAtMs !== null && !isKilled) {
       const lateMs = nowMs - terminatedAtMs - frozenMs - GRACE_MS;
@@ -154,8 +168,9 @@
     const started = childProcess.spawn(process.execPath, [MAIN, '--settings', file], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
-    started.stdout.on('data', () => {
+    readline.createInterface({ input: started.stdout }).on('line', (line) => {
       hasLogged = true;
+      addNote(line);
     });
     started.stderr.on('data', (bytes: Buffer) => {
       errors += bytes.toString('utf8');
@@ -179,6 +194,7 @@
       // Callers notice the end of their connections a moment later.
       outages.push({ fromMs: nowMs, untilMs: nowMs + RESTART_MS });
     }
+    addNote(name);
     child.kill(name);
   };
   writeSettings(100);
@@ -187,9 +203,11 @@
     callers: `${ip}:7401`,
     ready: `${ip}:7404`,
     outages,
+    notes,
     signal,
     freeze: (durationMs) => {
       const frozen = child;
+      addNote(`frozen for ${Math.round(durationMs)} ms`);
       const outage = { fromMs: performance.now(), untilMs: Infinity };
       outages.push(outage);
       frozen?.kill('SIGSTOP');
