fix(core): a request does not go back to the upstream whose answer was too large while another one has capacity

Callers of a service with two upstreams, of which one sends answers without end, were refused while the other one was sound.

Cause: the sound upstream was ejected, or on probation, when the other one began. The cut before the test's calls brings three failures in a row to one of the two upstreams, which ejects it. A repeated send looks for an upstream that was not tried and is not on hold; there is none, so it takes any, and that is the endless one, which cannot be ejected itself while the other one is. All three sends of a call went there. One call got the one slot of the probation and its 200; its head was over twice as slow as usual, since the process was copying the answers of the others, and the upstream was ejected again.

Change: a request remembers the upstreams whose answers to it were larger than what the router accepts. They do not count as usable for it, so that an upstream on hold is the last resort, as it is where all others are ejected or unreachable. Other failures go as before: a connection that broke says little of the next one, and an ejected upstream may hang.

Weighed: a general preference for upstreams that were not tried over those that failed (an overloaded pool would send its repeats to upstreams that hang); upstreams that fail but cannot be ejected as not usable for all (changes the first sends, and leaves two calls of each three to the endless one); no probation that ends for a slow head while the process itself is slow (does not help calls that find the upstream ejected, and touches all deployments; the router's own slow turns are an open matter there).

The test over sockets now plays both cases: the other upstream as the cut left it, which is left to chance, and ejected, which is brought about. It was wrong in one point: its route gave an attempt 500 ms and a call 1,500 ms, in which one process copies six answers of 16 MiB over four sockets each, so that its outcome depended on how fast that process was. Its calls wait for longer now; instead, each call may reach the endless upstream once at most, which bounds the work whatever the machine.

--- a/packages-private/measure/__tests__/unreachableUpstreams.spec.ts
+++ b/packages-private/measure/__tests__/unreachableUpstreams.spec.ts
@@ -35,6 +35,7 @@
     { name: 'issue', kind: 'unsafe' },
     { name: 'talk', kind: 'streaming', isResumable: true },
     { name: 'slow', kind: 'unsafe', timeoutMs: 20_000 },
+    { name: 'bulk', kind: 'safe', timeoutMs: 20_000, targetLatencyMs: 4_000 },
     { name: 'long', kind: 'streaming', isResumable: true, timeoutMs: 20_000 },
   ].map((route) => ({
     host: routedSite.HOST,
@@ -316,30 +317,64 @@
   t.is(countReceived(site, 'apart'), 1);
 });
 
-test.serial(
-  'an answer without end through a peer is closed, and another one is given',
-  async (t) => {
-    // The calls during the cut may use up the usual budget of repeated sends.
-    const site = await startCutSite(t, '127.0.231', { repeatShare: 2, repeatSlack: 100 });
-    site.forwarders.forEach((forwarder) => forwarder.cut('break'));
-    await sendEarlyCalls(site);
-    // The upstream that is asked now is asked next too, so that it has to be the endless one.
-    t.is((await site.call({ path: '/read/', id: 'asked' })).status, 200);
-    const endless = site.upstreams.find(({ arrived }) => arrived.includes('asked'));
-    const sound = site.upstreams.find((upstream) => upstream !== endless);
-    if (endless === undefined || sound === undefined) {
-      throw new Error('expected two upstreams');
-    }
-    endless.behaviour = { kind: 'endless', part: 'unframed' };
-    sound.behaviour = { kind: 'answer', status: 200, body: 'whole' };
-    const responses = await Promise.all(
-      Array.from({ length: 6 }, (_, call) => site.call({ path: '/read/', id: `endless-${call}` })),
-    );
-    t.deepEqual(
-      responses.map(({ status, body }) => `${status} ${body}`),
-      responses.map(() => '200 whole'),
-    );
-    t.true(endless.arrived.some((id) => id.startsWith('endless-')));
-    await standIns.control.waitUntil(() => endless.countOpen() === 0);
-  },
-);
+/** Calls at a time that one upstream does not get alone while the other one is in use. */
+const CALLS_AT_ONCE = 20;
+
+/** Lets an upstream fail until the first router, which ejects it then, sends it nothing more. */
+const ejectUpstream = async (
+  site: CutSite,
+  upstream: standIns.routedUpstream.RoutedUpstream,
+): Promise<void> => {
+  const countArrived = (): number => upstream.arrived.length;
+  const first = countArrived();
+  Object.assign(upstream, { behaviour: { kind: 'answer', status: 500, body: 'failed' } });
+  for (let before = -1, round = 0; before < countArrived() || before === first; round += 1) {
+    before = countArrived();
+    const ids = Array.from({ length: CALLS_AT_ONCE }, (_, index) => `failing-${round}-${index}`);
+    // eslint-disable-next-line no-await-in-loop -- rounds follow each other until none reaches the upstream
+    await Promise.all(ids.map((id) => site.call({ path: '/bulk/', id, headers: PATIENT })));
+  }
+};
+
+// The time that this process takes to copy the answers is no matter of these tests.
+(['as the cut left it', 'ejected'] as const).forEach((state, index) => {
+  test.serial(
+    `an answer without end through a peer is closed, and another one is given (the other upstream is ${state})`,
+    async (t) => {
+      // The calls during the cut may use up the usual budget of repeated sends.
+      const site = await startCutSite(t, `127.0.${index === 0 ? 231 : 232}`, {
+        repeatShare: 2,
+        repeatSlack: 100,
+      });
+      site.forwarders.forEach((forwarder) => forwarder.cut('break'));
+      await sendEarlyCalls(site);
+      // The upstream that is asked now is asked next too, so that it has to be the endless one.
+      t.is((await site.call({ path: '/bulk/', id: 'asked', headers: PATIENT })).status, 200);
+      const endless = site.upstreams.find(({ arrived }) => arrived.includes('asked'));
+      const sound = site.upstreams.find((upstream) => upstream !== endless);
+      if (endless === undefined || sound === undefined) {
+        throw new Error('expected two upstreams');
+      }
+      if (state === 'ejected') {
+        await ejectUpstream(site, sound);
+      }
+      endless.behaviour = { kind: 'endless', part: 'unframed' };
+      sound.behaviour = { kind: 'answer', status: 200, body: 'whole' };
+      const ids = Array.from({ length: 6 }, (_, call) => `endless-${call}`);
+      const responses = await Promise.all(
+        ids.map((id) => site.call({ path: '/bulk/', id, headers: PATIENT })),
+      );
+      t.deepEqual(
+        responses.map(({ status, body }) => `${status} ${body}`),
+        responses.map(() => '200 whole'),
+      );
+      const sent = ids.map((id) => endless.arrived.filter((item) => item === id).length);
+      t.true(sent.some((count) => count > 0));
+      t.true(
+        sent.every((count) => count <= 1),
+        `sent to the endless one: ${sent.join(', ')}`,
+      );
+      await standIns.control.waitUntil(() => endless.countOpen() === 0);
+    },
+  );
+});
--- a/packages/core/src/routed/routedArrival.ts
+++ b/packages/core/src/routed/routedArrival.ts
@@ -117,6 +117,7 @@
       priority: holder?.priority ?? route.priority,
       version: null,
       notRunCount: 0,
+      excessiveUpstreams: [],
     },
   };
 };
--- a/packages/core/src/routed/routedPlacement.ts
+++ b/packages/core/src/routed/routedPlacement.ts
@@ -204,9 +204,18 @@
   return best?.id ?? null;
 };
 
+/** Returns whether an upstream is worth waiting for: it is reachable, not ejected, and can answer this request. */
+const isUsable = (
+  upstream: upstreamState.UpstreamState,
+  { excessiveUpstreams }: routedState.RoutedState,
+): boolean =>
+  upstream.health === 'ok' &&
+  upstream.isReachable &&
+  !excessiveUpstreams.includes(upstream.host.id);
+
 /**
  * Picks the upstream with the lowest score for a routed request, or null if none has capacity. Ejected and
- * unreachable upstreams are picked only if no healthy one exists.
+ * unreachable upstreams are picked only if no usable one exists.
  */
 export const pickUpstream = (
   current: routerState.RouterState,
@@ -216,8 +225,7 @@
   const withCapacity = upstreams.filter((upstream) => hasCapacity(current, upstream, query));
   const healthy = withCapacity.filter(isHealthy);
   const isLastResort =
-    healthy.length === 0 &&
-    upstreams.every((upstream) => upstream.health !== 'ok' || !upstream.isReachable);
+    healthy.length === 0 && !upstreams.some((upstream) => isUsable(upstream, query.routed));
   const { service } = query.request;
   const { model, call } = query.routed;
   const unitMs = routedContext.getTypicalMs(current.routed, 'headTimes', service, model);
--- a/packages/core/src/routed/routedRetry.ts
+++ b/packages/core/src/routed/routedRetry.ts
@@ -282,6 +282,10 @@
     routed: {
       ...routed,
       notRunCount: routed.notRunCount + Number(event.isNotRun && !event.isUnsent),
+      excessiveUpstreams:
+        event.failure === 'excessive'
+          ? [...routed.excessiveUpstreams, attempt.upstreamId]
+          : routed.excessiveUpstreams,
     },
   });
   const recovered = recoverRequest(progressed, request.id, event);
--- a/packages/core/src/routed/routedState.ts
+++ b/packages/core/src/routed/routedState.ts
@@ -46,6 +46,8 @@
   readonly queueUntilMs: number;
   /** Number of sends that upstreams provably did not execute. */
   readonly notRunCount: number;
+  /** Ids of the upstreams whose answer to this request was larger than what this router accepts. */
+  readonly excessiveUpstreams: readonly string[];
 }
 
 /** Head of an upstream's answer. */
