fix(router): a router that starts in a roll-out knows its age from its peers before it serves

Cause: the store can tell the start of an order only by a wall clock, and the router served before any peer had told it the age.

Change: the answer to getRoutes, for which a starting router waits already, tells the ages of the running orders by the steady clock of the peer; the router merges them once it knows the orders, with the time for which it held them, and before it adopts the upstreams. They are no reports: no evidence comes with them, and a router with an age from a witness no longer waits 2 s before it may end a roll-out. So a router counts as alone only if it knows of no other router, met or listed.

Ways weighed: reports in that answer (the rows of a peer in another zone would count twice at an aggregator; an age without rows would pass for having heard the peer); a call of its own (one more wait at the start); ages in the answer (taken).

The landed build ignores the added optional field, and its answers without it are understood: the router then learns the age from reports, as until now.

"a router that starts near the end of a roll-out and has met no peer yet does not end it" fails if members alone tell whether a router is alone.

--- a/packages/core/__tests__/rolloutWitness.spec.ts
+++ b/packages/core/__tests__/rolloutWitness.spec.ts
@@ -140,3 +140,28 @@
   );
   t.pass();
 });
+
+// Its table of members is empty then, and the age that peers told it no longer keeps it from ending a roll-out.
+test('a router that starts near the end of a roll-out and has met no peer yet does not end it', (t) => {
+  const { service, to, revision } = rolloutFleet.ORDER;
+  const router = rolloutFleet.makeRouter(0, 1, () => 0);
+  router.send({ type: 'seedAddressesChanged', addresses: ['r1:1'] }, 0);
+  const startedAtMs = periodMs - 600;
+  rolloutFleet.sendObserved(router, startedAtMs, startedAtMs + 10_000);
+  const age = { service, to, revision, ageMs: startedAtMs, isWitnessed: true };
+  router.send({ type: 'canaryAgeReceived', ...age, source: 'r1:1' }, startedAtMs);
+  t.is(getStartMs(router), 0);
+  for (let atMs = startedAtMs; atMs < periodMs; atMs += STEP_MS) {
+    const effects = router.send({ type: 'ticked' }, atMs);
+    t.false(effects.some(({ type }) => type === 'recordCanaryOutcome'));
+  }
+});
+
+test('an age of another order of the same revision is ignored', (t) => {
+  const { service, revision } = rolloutFleet.ORDER;
+  const router = rolloutFleet.makeRouter(0, 1, () => 0);
+  rolloutFleet.sendObserved(router, 4_000, 1_000);
+  const age = { service, to: 'v9', revision, ageMs: 4_000, isWitnessed: true };
+  router.send({ type: 'canaryAgeReceived', ...age, source: 'r1:1' }, 4_000);
+  t.is(getStartMs(router), 3_000);
+});
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -223,6 +223,8 @@
     /** Versions that earlier roll-outs of the service have rolled back, as far as its record tells. */
     readonly withdrawn?: readonly string[];
   };
+  /** A peer told the age of an order; `source` is its address. */
+  readonly canaryAgeReceived: canaryState.CanaryAge & { readonly source: string };
   readonly canaryReportReceived: canaryState.CanaryReport;
   readonly ticked: Readonly<Record<never, never>>;
   readonly stopRequested: Readonly<Record<never, never>>;
--- a/packages/core/src/routed/canaryHandlers.ts
+++ b/packages/core/src/routed/canaryHandlers.ts
@@ -111,10 +111,26 @@
 };
 
 const isReportOn = (
-  { revision, to }: canaryState.CanaryReport,
+  { revision, to }: canaryState.CanaryAge,
   order: canaryState.RolloutOrder,
 ): boolean => revision === order.revision && (to === undefined || to === order.to);
 
+/** Merges the age of the current order that a peer told this router at its start; ignores those of other orders. */
+const handleCanaryAge = (
+  current: routerState.RouterState,
+  event: events.EventOf<'canaryAgeReceived'>,
+): transition.Transition => {
+  const canary = current.routed.canaries.get(event.service);
+  if (canary === undefined || !isReportOn(event, canary.order)) {
+    return transition.makeTransition(current);
+  }
+  const aged = canaryState.mergeAge(canary, event, event.nowMs);
+  return transition.makeTransition(
+    withCanary(current, aged),
+    ...logStartChange(canary, aged, event.source),
+  );
+};
+
 /** Merges a peer's report on the current order, and evaluates the canary again; ignores reports on other orders. */
 const handleCanaryReport = (
   current: routerState.RouterState,
@@ -223,5 +239,6 @@
 /** Handlers of events of canary roll-outs. */
 export const HANDLERS = {
   canaryObserved: handleCanaryObserved,
+  canaryAgeReceived: handleCanaryAge,
   canaryReportReceived: handleCanaryReport,
 } as const;
--- a/packages/core/src/routed/canaryReports.ts
+++ b/packages/core/src/routed/canaryReports.ts
@@ -18,6 +18,14 @@
 /** Prefix of the source of a report that holds a zone's sums. */
 const ZONE_SOURCE = 'zone:';
 
+const makeAge = (canary: canaryState.Canary, nowMs: number): canaryState.CanaryAge => ({
+  service: canary.order.service,
+  revision: canary.order.revision,
+  to: canary.order.to,
+  ageMs: nowMs - canary.startedAtMs,
+  isWitnessed: canary.unwitnessedSinceMs === null,
+});
+
 const makeReport = (
   canary: canaryState.Canary,
   source: string,
@@ -25,15 +33,11 @@
   oldRunning: number,
   nowMs: number,
 ): canaryState.CanaryReport => ({
+  ...makeAge(canary, nowMs),
   source,
-  service: canary.order.service,
-  revision: canary.order.revision,
-  to: canary.order.to,
   isBad: canary.isBad,
   rows,
   oldRunning,
-  ageMs: nowMs - canary.startedAtMs,
-  isWitnessed: canary.unwitnessedSinceMs === null,
 });
 
 const makeOwnReport = (
@@ -166,6 +170,18 @@
   );
 };
 
+const listRunning = (current: routerState.RouterState): readonly canaryState.Canary[] =>
+  current.routed.canaries
+    .valueSeq()
+    .filter((canary) => canary.stage === 'running')
+    .toArray();
+
+/** Lists the ages of the running orders, for a router that starts. */
+export const listAges = (
+  current: routerState.RouterState,
+  nowMs: number,
+): readonly canaryState.CanaryAge[] => listRunning(current).map((canary) => makeAge(canary, nowMs));
+
 /**
  * Plans this router's reports on its running canaries. In a large fleet, a few routers of each zone aggregate
  * the evidence of their zone, exchange the sums and tell the other routers the counts and whether the version is bad.
@@ -174,8 +190,4 @@
   current: routerState.RouterState,
   nowMs: number,
 ): readonly AddressedReport[] =>
-  current.routed.canaries
-    .valueSeq()
-    .filter((canary) => canary.stage === 'running')
-    .toArray()
-    .flatMap((canary) => planCanaryReports(current, canary, nowMs));
+  listRunning(current).flatMap((canary) => planCanaryReports(current, canary, nowMs));
--- a/packages/core/src/routed/canaryState.ts
+++ b/packages/core/src/routed/canaryState.ts
@@ -70,24 +70,28 @@
   readonly row: canaryEvidence.EvidenceRow;
 }
 
-/** Report of one router to another on a canary. */
-export interface CanaryReport {
-  /** Id of the router that counted the rows, or `zone:` and the name of the zone whose routers did. */
-  readonly source: string;
+/** Age of an order, as one router tells it to another. */
+export interface CanaryAge {
   readonly service: string;
   readonly revision: number;
   /** Version that is ordered; reports of the former build have none. */
   readonly to?: string;
+  /** Age of the order by the steady clock of the sender, in milliseconds; the former build tells none. */
+  readonly ageMs?: number;
+  /** True if that age goes back to a router that saw the order without a record, and so to no wall clock. */
+  readonly isWitnessed?: boolean;
+}
+
+/** Report of one router to another on a canary. */
+export interface CanaryReport extends CanaryAge {
+  /** Id of the router that counted the rows, or `zone:` and the name of the zone whose routers did. */
+  readonly source: string;
   readonly isBad: boolean;
   readonly rows: readonly canaryEvidence.EvidenceRow[];
   /** Requests in flight on the versions that the roll-out replaces. */
   readonly oldRunning: number;
   /** Answers of all routers, for a router that does not get the evidence; null in other reports. */
   readonly pooled?: Omit<PooledCounts, 'atMs'> | null;
-  /** Age of the order by the steady clock of the sender, in milliseconds; the former build tells none. */
-  readonly ageMs?: number;
-  /** True if that age goes back to a router that saw the order without a record, and so to no wall clock. */
-  readonly isWitnessed?: boolean;
 }
 
 /** Number of requests in flight on the versions that a roll-out replaces, with the time of the report. */
--- a/packages/core/src/routed/evidenceRoles.ts
+++ b/packages/core/src/routed/evidenceRoles.ts
@@ -33,7 +33,7 @@
 
 /**
  * Returns whether this router has the evidence of all routers: it is one of those that get it, and hears its peers or
- * has had none in the roll-out.
+ * knows of none and has had none in the roll-out.
  */
 export const hasAllEvidence = (
   current: routerState.RouterState,
@@ -43,6 +43,8 @@
   const hasRole =
     !hasAggregators(current) ||
     listAggregators(current, current.self.zone).includes(current.self.address);
-  const wasAlone = !hasPeers(current) && canary.previousInFlight.isEmpty();
+  const wasAlone =
+    memberTable.listPeerAddresses(current.members).length === 0 &&
+    canary.previousInFlight.isEmpty();
   return hasRole && (wasAlone || canaryState.hasRecentReport(canary, nowMs));
 };
--- a/packages/router/src/peers/messages.ts
+++ b/packages/router/src/peers/messages.ts
@@ -38,10 +38,14 @@
     /** The configuration as compressed JSON in base64, or null if it is not newer than `above`. */
     readonly result: { readonly packed: string | null };
   };
-  /** Fetches the table of routes in force, or null if there is none. */
+  /** Fetches the table of routes in force, or null if there is none, and the ages of the running roll-outs. */
   readonly getRoutes: {
     readonly params: Readonly<Record<never, never>>;
-    readonly result: { readonly table: shared.routeTable.RouteTable | null };
+    readonly result: {
+      readonly table: shared.routeTable.RouteTable | null;
+      /** Routers of the former build tell none. */
+      readonly canaryAges?: readonly core.canaryState.CanaryAge[];
+    };
   };
   /** Announces a generation and the address of a router that has it. */
   readonly announceConfig: {
--- a/packages/router/src/peers/peerHandlers.ts
+++ b/packages/router/src/peers/peerHandlers.ts
@@ -125,7 +125,13 @@
   readPrefix: (params) => context.sharedStore?.serveRead(params) ?? null,
   waitForPrefix: async (params) => (await context.sharedStore?.serveWait(params)) ?? null,
   getRelayEnd: ({ relayId }) => ({ bytes: context.relayEnds?.find(relayId) ?? null }),
-  getRoutes: () => ({ table: context.runtime.getState().routed.routeIndex?.table ?? null }),
+  getRoutes: () => {
+    const state = context.runtime.getState();
+    return {
+      table: state.routed.routeIndex?.table ?? null,
+      canaryAges: core.canaryReports.listAges(state, context.runtime.getNowMs()),
+    };
+  },
   requestPermits: (params) => {
     context.runtime.dispatch({ type: 'permitsRequested', ...params });
     return null;
--- a/packages/router/src/routed/routeSource.ts
+++ b/packages/router/src/routed/routeSource.ts
@@ -1,6 +1,7 @@
 import type * as core from '@jayrock/core';
 import type * as pino from 'pino';
 import type * as rpcClient from '../peers/rpcClient.js';
+import type * as peerRoutes from './peerRoutes.js';
 import type * as sharedStore from './sharedStore.js';
 import type * as routerRuntime from '../routerRuntime.js';
 import type * as freshnessClock from './freshnessClock.js';
@@ -14,7 +15,7 @@
   /** Returns the time within which news of the source has to be in force, in milliseconds. */
   readonly getNewsMs: () => number;
   /** Adopts the newest table of routes that peers have; called once their addresses are known. */
-  readonly fetchPeerRoutes: () => Promise<void>;
+  readonly fetchPeerRoutes: () => Promise<peerRoutes.AgeTeller>;
   readonly client: rpcClient.RpcClient;
 }
 
