fix(core): a refusal that asks for a pause is no sign of load after it

A refusal counted as full load, which fades with a time constant of 3 s, whether or not it named the time at which the upstream has room again. After a pause of 2 s half of that load was left. By the score's formula the other one of two equally fast idle upstreams is preferred for some seconds more, so the upstream got requests within the 2 s that the test watches only where its last answers had been faster than the other's, which is chance.

An upstream that rests is no longer counted as full: it is not used in its pause, and comes back with one request at a time until it has answered, as before. A refusal without a pause, of an upstream that does not rest, counts as full load as before.

Weighed: letting the load fade faster (a refusal without a pause would count for too little), and clearing it at the end of the pause (a second place that has to know of it).

Evidence: the test in the reducer, in which time and speed are given, saw 0 of 20 requests after the pause at the upstream that had got all 20 before it. All tests of the core pass, with its five known failures.

--- a/packages-private/measure/__tests__/upstreamNotices.spec.ts
+++ b/packages-private/measure/__tests__/upstreamNotices.spec.ts
@@ -173,17 +173,7 @@
     const failures = countFailures(site);
     resting.behaviour = behaviour;
     t.true((await countArrivals(resting, restMs - 2 * SETTLE_MS)) <= 2 * ROUTER_COUNT);
-    const arrivals = await countArrivals(resting, restMs);
-    // Known fault 22: passed over and printed.
-    const attempt = await t.try((assertions) => {
-      assertions.true(arrivals > 0);
-    });
-    if (attempt.passed) {
-      attempt.commit();
-    } else {
-      attempt.discard({ retainLogs: true });
-      t.log('known fault 22: nothing arrived after the pause');
-    }
+    t.true((await countArrivals(resting, restMs)) > 0);
     t.is(countFailures(site), failures);
   },
 );
--- a/packages/core/__tests__/upstreamNotices.spec.ts
+++ b/packages/core/__tests__/upstreamNotices.spec.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import * as fc from 'fast-check';
 import * as core from '../src/index.js';
-import type * as fixtures from './fixtures.js';
+import * as fixtures from './fixtures.js';
 import * as routedFixtures from './routedFixtures.js';
 
 const IDS = ['u1', 'u22', 'u333'] as const;
@@ -191,3 +191,51 @@
   driver.send({ type: 'hostChanged', host: present }, 1_000);
   t.is(getHostState(driver, 'u1'), 'leaving');
 });
+
+const ANSWER_MS = 20;
+
+/** Answers the attempts among the effects of an event, all equally fast, and returns their upstreams. */
+const answerAttempts = (
+  driver: fixtures.Driver,
+  effects: readonly core.effects.Effect[],
+  sentMs: number,
+): readonly string[] =>
+  fixtures.pickEffects(effects, 'startAttempt').map(({ requestId, attemptId, upstreamId }) => {
+    const nowMs = sentMs + ANSWER_MS;
+    const head = { status: 200, confidence: null };
+    driver.send({ type: 'noticeObserved', upstreamId, isLeaving: false, restMs: null }, nowMs);
+    driver.send({ type: 'routedHeadArrived', requestId, attemptId, head }, nowMs);
+    driver.send(
+      { type: 'routedAttemptEnded', requestId, attemptId, events: 1, streamMs: 0 },
+      nowMs,
+    );
+    return upstreamId;
+  });
+
+/** Sends calls one after the other and returns the upstreams that answered them. */
+const sendCalls = (driver: fixtures.Driver, name: string, startMs: number): readonly string[] =>
+  Array.from({ length: 20 }, (_, index) => startMs + index * ANSWER_MS).flatMap((nowMs) =>
+    answerAttempts(
+      driver,
+      routedFixtures.sendCall(driver, `${name}-${nowMs}`, {}, 0, nowMs),
+      nowMs,
+    ),
+  );
+
+test('an upstream is used after its pause as it was before, whatever load its refusal suggested', (t) => {
+  const driver = routedFixtures.makeRoutedDriver(['u1', 'u22']);
+  const used = sendCalls(driver, 'before', 0);
+  const [attempt] = fixtures.pickEffects(
+    routedFixtures.sendCall(driver, 'refused', {}, 0, 1_000),
+    'startAttempt',
+  );
+  const { attemptId = 0, upstreamId = '' } = attempt ?? {};
+  driver.send({ type: 'noticeObserved', upstreamId, isLeaving: false, restMs: 2_000 }, 1_000);
+  const change = { failure: 'turnedAway', isNotRun: true } as const;
+  const refusal = routedFixtures.makeFailure('refused', attemptId, change);
+  answerAttempts(driver, driver.send(refusal, 1_000), 1_000);
+  t.false(sendCalls(driver, 'within', 2_000).includes(upstreamId));
+  const after = sendCalls(driver, 'after', 3_500);
+  const count = (ids: readonly string[]): number => ids.filter((id) => id === upstreamId).length;
+  t.is(count(after), count(used), `${used.join()} ${after.join()}`);
+});
--- a/packages/core/src/routed/routedRetry.ts
+++ b/packages/core/src/routed/routedRetry.ts
@@ -4,6 +4,7 @@
 import * as health from '../health.js';
 import * as memberTable from '../membership/memberTable.js';
 import * as brittleUpstreams from '../notices/brittleUpstreams.js';
+import * as upstreamRest from '../notices/upstreamRest.js';
 import * as refusal from '../refusal.js';
 import type * as requestAttempt from '../requestAttempt.js';
 import type * as requestState from '../requestState.js';
@@ -106,17 +107,23 @@
   consecutiveFailures: upstream.consecutiveFailures + 1,
 });
 
-/** Marks an upstream that rejects work as full; this overrides its last load report. */
+/**
+ * Marks an upstream that rejects work as full; this overrides its last load report. One that asks for a pause says itself
+ * when it has room again.
+ */
 const markFull =
   (nowMs: number) =>
-  (upstream: upstreamState.UpstreamState): upstreamState.UpstreamState => ({
-    ...upstream,
-    externalLoad: Math.max(
-      upstream.externalLoad,
-      (upstream.host.slots ?? upstream.slots) - upstream.inFlight,
-    ),
-    reportedAtMs: nowMs,
-  });
+  (upstream: upstreamState.UpstreamState): upstreamState.UpstreamState =>
+    upstreamRest.isResting(upstream.rest, nowMs)
+      ? upstream
+      : {
+          ...upstream,
+          externalLoad: Math.max(
+            upstream.externalLoad,
+            (upstream.host.slots ?? upstream.slots) - upstream.inFlight,
+          ),
+          reportedAtMs: nowMs,
+        };
 
 /** Marks an upstream as leaving: another one now has its address, which the host list does not show yet. */
 const markLeaving = (upstream: upstreamState.UpstreamState): upstreamState.UpstreamState => ({
