test(measure): the test of a pause counts the requests of the routers that were told of it

The test counted all requests that reached the resting upstream from 0.5 s to 1.5 s after it began to refuse, and took for granted that each router had been refused by then. A router that prefers the other upstream after a slow answer sends this one nothing within that time, knows of no pause, and comes back to an upstream that answers. That is no fault: a pause is what one router was asked for.

Each router that was refused is now counted by itself: at most two requests from 0.5 s after its first refusal until the end of its pause (until 1.5 s before, six of all routers together), and some after it from those routers.

--- a/packages-private/measure/__tests__/upstreamNotices.spec.ts
+++ b/packages-private/measure/__tests__/upstreamNotices.spec.ts
@@ -92,6 +92,33 @@
   return upstream.arrivedAtMs.length - before;
 };
 
+/** Returns the router to which a call was sent. */
+const getRouter = (callId: string): number => (Number(callId.split('-')[1]) - 1) % ROUTER_COUNT;
+
+/** Counts the requests of a router that reached an upstream between two times, in milliseconds. */
+const countArrivalsOf = (
+  { arrived, arrivedAtMs }: standIns.routedUpstream.RoutedUpstream,
+  router: number,
+  fromMs: number,
+  toMs: number,
+): number =>
+  arrived.filter((id, index) => {
+    const atMs = arrivedAtMs[index] ?? -Infinity;
+    return getRouter(id) === router && atMs >= fromMs && atMs < toMs;
+  }).length;
+
+/** Lists the routers of the requests that an upstream handled after a number of others, with their first arrival. */
+const listFirstArrivals = (
+  { arrived, arrivedAtMs, received }: standIns.routedUpstream.RoutedUpstream,
+  after: number,
+): readonly { readonly router: number; readonly atMs: number }[] =>
+  Array.from({ length: ROUTER_COUNT }, (_, router) => ({
+    router,
+    first: received.slice(after).find(({ id }) => getRouter(id) === router),
+  })).flatMap(({ router, first }) =>
+    first === undefined ? [] : [{ router, atMs: arrivedAtMs[arrived.indexOf(first.id)] ?? 0 }],
+  );
+
 const countFailures = ({ responses }: NoticeSite): number =>
   responses.filter(({ status }) => status !== 200).length;
 
@@ -167,13 +194,28 @@
     const restMs = 2_000;
     const site = await startNoticeSite(t, '127.0.54');
     const resting = getUpstream(site, 0);
-    const { behaviour } = resting;
+    const { behaviour, received } = resting;
     resting.behaviour = { kind: 'turnAway', status: 503, retryAfter: '2.0' };
+    const before = received.length;
     await standIns.control.wait(SETTLE_MS);
+    await standIns.control.waitUntil(() => received.length > before);
+    const told = listFirstArrivals(resting, before);
     const failures = countFailures(site);
     resting.behaviour = behaviour;
-    t.true((await countArrivals(resting, restMs - 2 * SETTLE_MS)) <= 2 * ROUTER_COUNT);
-    t.true((await countArrivals(resting, restMs)) > 0);
+    await standIns.control.wait(restMs * 2 - 2 * SETTLE_MS);
+    // A router that the upstream refused nothing knows of no pause.
+    const counts = told.map(({ router, atMs }) => ({
+      within: countArrivalsOf(resting, router, atMs + SETTLE_MS, atMs + restMs),
+      after: countArrivalsOf(resting, router, atMs + restMs, Infinity),
+    }));
+    t.true(
+      counts.every(({ within }) => within <= 2),
+      JSON.stringify(counts),
+    );
+    t.true(
+      counts.some(({ after }) => after > 0),
+      JSON.stringify(counts),
+    );
     t.is(countFailures(site), failures);
   },
 );
