fix(router): a router whose links were cut has dropped what went meanwhile by the time it counts as in touch

What callers saw: a router that had been cut off from the store and from its readers for longer than news may take sent requests to upstreams that had been removed meanwhile, after it counted as in touch again (3 s after the end of the cut where news is due within 2 s).

Cause: three waits added up without a bound. Readers that gave no answer were avoided for as long as news may take, also if the silence was the router's own; the feed paused for up to 1.2 s between calls; and what went in an outage is kept for 1.9 s after it, as its owners may write it again.

Change: while no source answers, readers that are avoided are asked too, and a pause lasts 0.3 s at most. The bound follows from the targets: 3 s, less 1.9 s for removals, less a call without an answer (0.35 of 2 s), leaves 0.4 s.

Why it works: the first call that begins after the cut is answered, by a reader or the store, and begins within a call and a pause.

Weighed: retries of the store more often (a price for all in each outage); readers that say whether the store had an outage, so that a router whose own path was cut drops at once what went (the better end, since the 1.9 s would go, but a field between routers, and none for a router alone); treating what may have lapsed as a last resort only (a state of upstreams more).

--- a/packages/router/src/routed/prefixFeed.ts
+++ b/packages/router/src/routed/prefixFeed.ts
@@ -64,7 +64,7 @@
 export const REWRITE_MS = 1_900;
 /** Bounds of the exponential backoff after failed calls, in milliseconds, before jitter. */
 const MIN_BACKOFF_MS = 100;
-const MAX_BACKOFF_MS = 800;
+const MAX_BACKOFF_MS = 200;
 
 /** Starts a feed: reads the prefix, long-polls for changes, and reads it again after a gap in the history. */
 export const startPrefixFeed = (
--- a/packages/router/src/routed/sharedStore.ts
+++ b/packages/router/src/routed/sharedStore.ts
@@ -160,6 +160,8 @@
     directFailures = 0;
     directFailedUntilMs = -Infinity;
   };
+  const isAvoided = (address: string): boolean =>
+    (avoidedUntilMs.get(address) ?? -Infinity) >= performance.now();
   const avoid = (address: string, ageMs: number | null, askedAtMs: number): void => {
     const afterMs = Math.round(performance.now() - askedAtMs);
     log.info({ address, afterMs, ageMs }, ageMs === null ? 'reader silent' : 'reader outdated');
@@ -177,16 +179,17 @@
       hasChanges = () => false,
     }: ReplyChecks<T>,
   ): Promise<T | null> => {
-    const readers = listReaders().filter(
-      (address) => (avoidedUntilMs.get(address) ?? -Infinity) < performance.now(),
-    );
+    const all = listReaders();
+    const usable = all.filter((address) => !isAvoided(address));
+    // While no source answers, those that are avoided are asked too: the silence may have been this router's own.
+    const readers = isFailing ? [...usable, ...all.filter(isAvoided)] : usable;
     for (const address of readers) {
       if (isLate()) {
         break;
       }
       const askedAtMs = performance.now();
       // eslint-disable-next-line no-await-in-loop -- the next reader is asked only if this one has no answer
-      const reply = await ask(address, address === readers[0]);
+      const reply = await ask(address, address === usable[0]);
       if (reply !== null && reply.isLarge) {
         break;
       }
