fix(core): a report that waited while a router stood still is dated by its sending

What callers could see: a router that stood still until shortly before the end of a roll-out took the reports that had waited in its connections for news of its peers, and ended the roll-out by what they knew at the start of its pause.

Cause: a report was dated when it was read.

Change: the age of the order in a report, by the steady clock of its sender, tells when it was sent, also on the clock of the receiver. An earlier report of a source does not replace a later one. A report without an age, or with one from wall clocks, is dated as before.

Ways weighed: a time of sending in the message (a new field, and clocks that differ); ages (there already, taken).

--- a/packages/core/__tests__/rolloutEvidence.spec.ts
+++ b/packages/core/__tests__/rolloutEvidence.spec.ts
@@ -124,8 +124,13 @@
   ).answers;
 };
 
-/** Sends a peer's report on good answers of both versions. */
-const sendEvidence = (router: rolloutFleet.FleetRouter, newAnswers: number, atMs: number): void => {
+/** Sends a peer's report on good answers of both versions, which may arrive late. */
+const sendEvidence = (
+  router: rolloutFleet.FleetRouter,
+  newAnswers: number,
+  atMs: number,
+  arrivedAtMs = atMs,
+): void => {
   const { service, to, revision } = rolloutFleet.ORDER;
   const makeRow = (isNew: boolean, answers: number): core.canaryEvidence.EvidenceRow => ({
     epoch: Math.floor(atMs / core.canaryEvidence.EPOCH_MS),
@@ -140,7 +145,10 @@
   });
   const rows = [makeRow(false, 200), ...(newAnswers > 0 ? [makeRow(true, newAnswers)] : [])];
   const report = { source: 'peer', service, to, revision, isBad: false, rows, oldRunning: 0 };
-  router.send({ type: 'canaryReportReceived', ...report, ageMs: atMs, isWitnessed: true }, atMs);
+  router.send(
+    { type: 'canaryReportReceived', ...report, ageMs: atMs, isWitnessed: true },
+    arrivedAtMs,
+  );
 };
 
 rolloutFleet.FLEET_SIZES.forEach((size) => {
@@ -165,6 +173,23 @@
     t.is(countAnswers(fleet[0]), countAnswers(fleet[1]));
   });
 
+  test(`of ${size} routers, one that stood still takes no report that waited meanwhile for news of its peers`, (t) => {
+    const [router] = makeFleet(size);
+    if (router === undefined) {
+      t.fail();
+      return;
+    }
+    const { periodMs } = rolloutFleet.ORDER;
+    rolloutFleet.sendObserved(router, 0, 0);
+    sendEvidence(router, 20, STOPPED_AT_MS);
+    sendEvidence(router, 30, STOPPED_AT_MS + rolloutFleet.REPORT_MS, periodMs - 800);
+    for (let atMs = periodMs - 800; atMs < periodMs - 300; atMs += STEP_MS) {
+      t.deepEqual(listProposed(router, atMs), []);
+    }
+    sendEvidence(router, 40, periodMs - 400, periodMs - 400);
+    t.deepEqual(listProposed(router, periodMs - 400), ['completed']);
+  });
+
   [0, 20].forEach((newAnswers) => {
     test(`of ${size} routers, one that has heard no peer since it stood still leaves the outcome to them (${newAnswers} answers known)`, (t) => {
       const [router, ...others] = makeFleet(size);
--- a/packages/core/src/routed/canaryHandlers.ts
+++ b/packages/core/src/routed/canaryHandlers.ts
@@ -148,6 +148,7 @@
     event.oldRunning,
     event.nowMs,
     event.pooled ?? null,
+    canaryState.getReportedAtMs(aged, event, event.nowMs),
   );
   return transition.makeTransition(
     withCanary(current, event.isBad ? { ...merged, isBad: true } : merged),
--- a/packages/core/src/routed/canaryState.ts
+++ b/packages/core/src/routed/canaryState.ts
@@ -345,6 +345,7 @@
   inFlightCount: number,
   nowMs: number,
   pooled: Omit<PooledCounts, 'atMs'> | null = null,
+  reportedAtMs = nowMs,
 ): Canary => ({
   ...withPooled(canary, pooled === null ? null : { ...pooled, atMs: nowMs }, nowMs),
   rows: rows.reduce((merged, row) => {
@@ -354,9 +355,25 @@
       ? merged
       : merged.set(key, { source, row });
   }, canary.rows),
-  previousInFlight: canary.previousInFlight.set(source, { count: inFlightCount, atMs: nowMs }),
+  previousInFlight:
+    (canary.previousInFlight.get(source)?.atMs ?? -Infinity) > reportedAtMs
+      ? canary.previousInFlight
+      : canary.previousInFlight.set(source, { count: inFlightCount, atMs: reportedAtMs }),
 });
 
+/**
+ * Returns the time at which a report was sent, on this router's clock, in milliseconds. It may have waited while this router
+ * stood still; the age of the order that it tells dates it, unless that comes from wall clocks.
+ */
+export const getReportedAtMs = (
+  canary: Canary,
+  told: Pick<CanaryReport, 'ageMs' | 'isWitnessed'>,
+  nowMs: number,
+): number =>
+  told.ageMs === undefined || told.isWitnessed !== true
+    ? nowMs
+    : Math.min(nowMs, canary.startedAtMs + told.ageMs);
+
 /**
  * Merges the age of the order that a peer tells. Each age that a steady clock has counted is at most the true one, so the
  * greater one holds; one that goes back to wall clocks may be too great, and yields to any that does not.
