test(measure): each seed of the soak has addresses of its own

All seeds shared one subnet, so that seeds could only run one after the other, and two runs at once met on it. Change: the subnet follows from the seed; faults, calls and checks are as before.

--- a/packages-private/measure/__tests__/soak.spec.ts
+++ b/packages-private/measure/__tests__/soak.spec.ts
@@ -8,6 +8,8 @@
 
 /** Seeds and router counts, such as `JAYROCK_SOAK='1-50x3,51-52x40'`; two seeds with three routers if it is not set. */
 const PLAN = process.env.JAYROCK_SOAK ?? '1-2x3';
+/** Seeds that can run at the same time, each with addresses of its own. */
+const SUBNETS = 256;
 const SOAK_MS = 25_000;
 const CALLERS_PER_ROUTER = 4;
 /** Longest pause of a caller between two requests, in milliseconds. */
@@ -215,7 +217,7 @@
     async (t) => {
       t.timeout(SOAK_MS * 10);
       const draw = makeDraw(seed);
-      const site = await soakSite.startSoakSite('127.0.83', routers);
+      const site = await soakSite.startSoakSite(`127.83.${seed % SUBNETS}`, routers);
       t.teardown(site.close);
       const isUp = await Promise.all(
         site.routers.map((router) => hasRecovered(site, router, performance.now() + SOAK_MS)),
