fix(router): the time of a failed call counts as a part of the pause after it

What the store saw: with a pause of 0.3 s at most after any failure, a store that refuses all got 1.143 calls a router and second (sharedStore.spec.ts, 14 routers), 1 allowed.

Cause: the bound on the pause was set for calls without an answer, which take 0.35 of the time within which news is due; a refusal takes no time.

Change: a pause lasts 975 ms at most, less the time of the call, and 300 ms after a call without an answer. 3 s, less 1.9 s for removals, leaves 1.1 s for a call that had begun before and the pause, or for the pause after a refusal.

--- a/packages/router/src/routed/prefixFeed.ts
+++ b/packages/router/src/routed/prefixFeed.ts
@@ -64,7 +64,9 @@
 export const REWRITE_MS = 1_900;
 /** Bounds of the exponential backoff after failed calls, in milliseconds, before jitter. */
 const MIN_BACKOFF_MS = 100;
-const MAX_BACKOFF_MS = 200;
+const MAX_BACKOFF_MS = 650;
+/** The same after calls that took longer than that, as those without an answer do. */
+const MAX_SHORT_BACKOFF_MS = 200;
 
 /** Starts a feed: reads the prefix, long-polls for changes, and reads it again after a gap in the history. */
 export const startPrefixFeed = (
@@ -107,14 +109,21 @@
     }
     failures = 0;
   };
-  const backOff = async (error: string): Promise<void> => {
+  /** Pauses after a failed call; the time that the call took is a part of the pause. */
+  const backOff = async (error: string, calledAtMs: number): Promise<void> => {
     failures += 1;
     resolveFirstFailure();
     if (failures === 1) {
       log.warn({ prefix, error }, 'store does not answer');
     }
-    const backoffMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** (failures - 1));
-    await shared.delay.wait(backoffMs * (0.5 + Math.random()));
+    const jitter = 0.5 + Math.random();
+    const backoffMs = MIN_BACKOFF_MS * 2 ** (failures - 1);
+    await shared.delay.wait(
+      Math.max(
+        jitter * Math.min(MAX_SHORT_BACKOFF_MS, backoffMs),
+        jitter * Math.min(MAX_BACKOFF_MS, backoffMs) - (performance.now() - calledAtMs),
+      ),
+    );
   };
   /** Applies a change; one that cannot be applied does not keep others from being followed. */
   const applyChange = (change: stores.prefixStore.PrefixChange): void => {
@@ -173,9 +182,10 @@
     return pendingRead;
   };
   const readAll = async (): Promise<void> => {
+    const calledAtMs = performance.now();
     const error = await readShared();
     if (error !== null) {
-      await backOff(error);
+      await backOff(error, calledAtMs);
     }
   };
   /** Polls once from a position; returns the error of a poll that failed. */
@@ -211,9 +221,10 @@
     return null;
   };
   const pollAgain = async (after: Position): Promise<void> => {
+    const calledAtMs = performance.now();
     const error = await pollOnce(after, failures > 0 ? SHORT_WAIT_MS : getWaitMs());
     if (error !== null) {
-      await backOff(error);
+      await backOff(error, calledAtMs);
     }
   };
   const pollNow = async (): Promise<void> => {
