refactor(router): the timeout of a read through a reader is a share of the time within which news is due

It was a constant beside shares; equal where news is due within 2 s. No change of behaviour at those sites; tests of sharedStore, sharedStoreAges and silentReaders pass.

--- a/packages/router/src/routed/sharedStore.ts
+++ b/packages/router/src/routed/sharedStore.ts
@@ -32,8 +32,8 @@
 const DIRECT_RETRY_SHARE = 1;
 /** Share of that time for which a reader that did not answer, or knows nothing recent, is not asked. */
 const AVOIDED_SHARE = 1;
-/** Timeout of a read of a prefix through a reader, in milliseconds. */
-const READ_TIMEOUT_MS = 600;
+/** Share of that time after which a read of a prefix through a reader counts as not answered. */
+const READ_TIMEOUT_SHARE = 0.3;
 /**
  * Largest size of the values that a reader passes on, in characters; larger ones are read from the store, whose link is
  * wider than that of a reader with many routers behind it.
@@ -240,7 +240,7 @@
   const readPrefix: stores.prefixStore.PrefixStore['readPrefix'] = async (prefix) => {
     const reading = clock.takeReading();
     const reply = await askReaders(
-      (address) => client.call(address, 'readPrefix', { prefix }, READ_TIMEOUT_MS),
+      (address) => client.call(address, 'readPrefix', { prefix }, getNewsMs() * READ_TIMEOUT_SHARE),
       { isBehind: ({ snapshot }) => known.isBehind(snapshot) },
     );
     const started = reply === null ? clock.takeReading() : reading;
