fix(core): a request that waits goes where the table in force leads, not the one of its arrival

Cause: route, service, model, priority and deadline were resolved once, on arrival, and kept as bare values.

Change: routedTarget makes all that follows from the table, for arrivals and for requests that wait. It is resolved anew - for all queued requests when a table is adopted (routedReroute): those whose route is as it was keep their place, others leave the queue of their former service and are placed like arrivals; one without a route is answered as the table says, not run; - before each further send (routedRetry): the new route's limit on attempts and the send window of the new service apply, and what may have run is sent again only if both routes allow it; - at the send itself (detectOverdue: routeMoved), behind the wait for a connection, like the key. A request stays at its service and model while its route still leads there. The rest of an answer that has begun stays at its service, and an answer that there is is not given up for a send that the new table refuses or leads elsewhere. The timer of a time-out names its deadline, so that one of a former, shorter deadline ends nothing. Messages and stored forms do not change.

Ways weighed: resolving only at the send leaves requests in the queue of a service that may stay full while the new one is free; resolving only when a table is adopted misses retries and sends under way. Keeping the earlier of two deadlines needs no change of the timer, but ends requests by a time-out that is no longer in force.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -261,8 +261,15 @@
   | { readonly kind: 'queueDeadline'; readonly requestId: string }
   | { readonly kind: 'hedge'; readonly requestId: string; readonly attemptId: number }
   | { readonly kind: 'retry'; readonly requestId: string }
-  /** The route's timeout or the caller's deadline has passed. */
-  | { readonly kind: 'routedTimeout'; readonly requestId: string };
+  /** The route's timeout or the caller's deadline has passed; a new table can replace the deadline. */
+  | {
+      readonly kind: 'routedTimeout';
+      readonly requestId: string;
+      readonly deadlineAtMs: number;
+    };
+
+/** A timer of one kind. */
+export type TimerOf<K extends Timer['kind']> = Extract<Timer, { readonly kind: K }>;
 
 /** Type tag of an event. */
 export type EventType = keyof EventPayloads;
--- a/packages/core/src/routed/overdueSend.ts
+++ b/packages/core/src/routed/overdueSend.ts
@@ -4,10 +4,18 @@
 import type * as routerState from '../routerState.js';
 import type * as upstreamState from '../upstreamState.js';
 import * as guardRefusal from './guardRefusal.js';
+import * as routedTarget from './routedTarget.js';
+import * as routeIndex from './routeIndex.js';
 
 /** Reason why a send that was decided is no longer due. */
 export type OverdueReason =
-  'deadlinePassed' | 'keyWithdrawn' | 'heldBack' | 'upstreamLeft' | 'upstreamRests' | 'rateLimited';
+  | 'deadlinePassed'
+  | 'keyWithdrawn'
+  | 'routeMoved'
+  | 'heldBack'
+  | 'upstreamLeft'
+  | 'upstreamRests'
+  | 'rateLimited';
 
 /** Returns whether the key of a request still belongs to the organisation for which it was admitted. */
 export const isKeyHeld = (
@@ -22,6 +30,19 @@
   return holder?.organisation === request.customer;
 };
 
+/** Returns whether the route of a request leads to its service; the rest of an answer that has begun stays there. */
+const isRouteHeld = (
+  current: routerState.RouterState,
+  { routed, service, forwardedAttempt }: requestState.RequestState,
+): boolean => {
+  const { routeIndex: index } = current.routed;
+  if (routed === null || index === null || forwardedAttempt !== null) {
+    return true;
+  }
+  const route = routeIndex.findRoute(index, routed.call.host, routed.call.path);
+  return route !== undefined && routedTarget.isTarget(route, service);
+};
+
 /** Returns whether a request may still be sent to an upstream that may have named a limit since it was placed. */
 const isPermitted = (
   request: requestState.RequestState,
@@ -48,6 +69,9 @@
   if (!isKeyHeld(current, request)) {
     return 'keyWithdrawn';
   }
+  if (!isRouteHeld(current, request)) {
+    return 'routeMoved';
+  }
   if (request.routed !== null && guardRefusal.isHeldBack(current, request.routed.call)) {
     return 'heldBack';
   }
--- a/packages/core/src/routed/routedExpiry.ts
+++ b/packages/core/src/routed/routedExpiry.ts
@@ -7,14 +7,26 @@
 import * as transition from '../transition.js';
 import * as routedRefusal from './routedRefusal.js';
 
-/** Ends a request whose deadline or route timeout has passed. */
+/** Schedules the end of a request at its deadline. */
+export const scheduleTimeout = (
+  current: routerState.RouterState,
+  { id, deadlineAtMs }: requestState.RequestState,
+  nowMs: number,
+): transition.Transition =>
+  transition.makeTransition(current, {
+    type: 'armTimer',
+    timer: { kind: 'routedTimeout', requestId: id, deadlineAtMs },
+    delayMs: Math.max(0, deadlineAtMs - nowMs),
+  });
+
+/** Ends a request whose deadline or route timeout has passed; a timer of an earlier deadline ends nothing. */
 export const expireRequest = (
   current: routerState.RouterState,
-  requestId: string,
+  { requestId, deadlineAtMs }: events.TimerOf<'routedTimeout'>,
   stamp: events.Stamp,
 ): transition.Transition => {
   const request = current.requests.get(requestId);
-  if (request === undefined) {
+  if (request === undefined || deadlineAtMs < request.deadlineAtMs) {
     return transition.makeTransition(current);
   }
   const dequeued = dispatch.removeFromQueue(current, request, stamp.nowMs);
--- a/packages/core/src/routed/routedFeeds.ts
+++ b/packages/core/src/routed/routedFeeds.ts
@@ -6,9 +6,10 @@
 import * as transition from '../transition.js';
 import * as upstreamState from '../upstreamState.js';
 import * as prefixCache from './prefixCache.js';
+import * as routedReroute from './routedReroute.js';
 import * as routeIndex from './routeIndex.js';
 
-/** Adopts a route table if its version is higher than that of the table in force. */
+/** Adopts a route table if its version is higher than that of the table in force, also for the requests that wait. */
 const handleRoutesAdopted = (
   current: routerState.RouterState,
   event: events.EventOf<'routesAdopted'>,
@@ -21,11 +22,14 @@
     ...current,
     routed: { ...current.routed, routeIndex: index },
   });
-  return transition.makeTransition(next, {
+  const adopted = transition.makeTransition(next, {
     type: 'log',
     message: 'routes adopted',
     fields: { version: index.version, routes: event.table.routes.length },
   });
+  return transition.composeTransition(adopted, (after) =>
+    routedReroute.rerouteWaiting(after, event),
+  );
 };
 
 const handleSettingsChanged = (
--- a/packages/core/src/routed/routedRefusal.ts
+++ b/packages/core/src/routed/routedRefusal.ts
@@ -92,3 +92,16 @@
   countPossibleExecutions(request) === 0
     ? refuseNotRun(current, request, 'overloaded', stamp)
     : refusal.refuseRequest(current, request, code, null);
+
+/** Ends a routed request that the table in force does not serve. */
+export const endUnserved = (
+  current: routerState.RouterState,
+  request: requestState.RequestState,
+  code: shared.errorCodes.ErrorCode,
+): transition.Transition =>
+  refusal.refuseRequest(
+    current,
+    request,
+    countPossibleExecutions(request) === 0 ? code : 'upstreamFailed',
+    null,
+  );
--- a/packages/core/src/routed/routedRetry.ts
+++ b/packages/core/src/routed/routedRetry.ts
@@ -14,7 +14,9 @@
 import type * as upstreamState from '../upstreamState.js';
 import * as overdueSend from './overdueSend.js';
 import * as routedContext from './routedContext.js';
+import * as routedExpiry from './routedExpiry.js';
 import * as routedRefusal from './routedRefusal.js';
+import * as routedResolve from './routedResolve.js';
 import type * as routedState from './routedState.js';
 import * as routedSend from './routedSend.js';
 import * as sendBudget from './sendBudget.js';
@@ -46,17 +48,69 @@
     nowMs,
   );
 
-/** Sends a request again, or queues it until an upstream has capacity. */
-const sendAgain = (
+/** Returns whether an attempt that has not failed, or has an answer, may be given up for one more send. */
+const canMove = (
+  current: routerState.RouterState,
+  request: requestState.RequestState,
+  routed: routedState.RoutedState,
+  nowMs: number,
+): boolean =>
+  canSendAgain(current, request, routed, nowMs) &&
+  routedResolve.resolveRequest(current, request).ok;
+
+/** Places a request by the table in force in its remaining time, and arms its timeout anew if that has changed. */
+export const placeWithin = (
   current: routerState.RouterState,
+  former: requestState.RequestState,
   request: requestState.RequestState,
   stamp: events.Stamp,
-): transition.Transition =>
-  dispatch.placeRequest(
-    routerState.setRequest(current, request),
-    { ...request, retryCount: request.retryCount + 1, phase: 'queued' },
-    stamp,
+  place: typeof dispatch.placeRequest,
+): transition.Transition => {
+  if (request.deadlineAtMs <= stamp.nowMs) {
+    return routedRefusal.endUnanswered(current, request, 'deadlineExceeded', stamp);
+  }
+  const placed = place(routerState.setRequest(current, request), request, stamp);
+  return transition.composeTransition(placed, (next) =>
+    request.deadlineAtMs !== former.deadlineAtMs && next.requests.has(request.id)
+      ? routedExpiry.scheduleTimeout(next, request, stamp.nowMs)
+      : transition.makeTransition(next),
   );
+};
+
+/** Places a request that was sent before as the table in force says, if that table allows one more send as well. */
+export const placeAgain = (
+  current: routerState.RouterState,
+  former: requestState.RequestState,
+  request: requestState.RequestState,
+  stamp: events.Stamp,
+): transition.Transition => {
+  const { routed } = request;
+  const canRepeat =
+    request === former ||
+    ((request.isRepeatable || routedRefusal.countPossibleExecutions(request) === 0) &&
+      routed !== null &&
+      canSendAgain(current, request, routed, stamp.nowMs));
+  return canRepeat
+    ? placeWithin(current, former, request, stamp, dispatch.placeRequest)
+    : routedRefusal.endUnanswered(current, request, 'upstreamFailed', stamp);
+};
+
+/** Sends a request again where the table in force leads, or queues it until an upstream has capacity. */
+const sendAgain = (
+  current: routerState.RouterState,
+  request: requestState.RequestState,
+  stamp: events.Stamp,
+): transition.Transition => {
+  const again: requestState.RequestState = {
+    ...request,
+    retryCount: request.retryCount + 1,
+    phase: 'queued',
+  };
+  const resolved = routedResolve.resolveRequest(current, again);
+  return resolved.ok
+    ? placeAgain(current, again, resolved.value, stamp)
+    : routedRefusal.endUnserved(current, again, resolved.error);
+};
 
 /** Cancels an attempt and sends its request again. */
 const moveAttempt = (
@@ -79,7 +133,13 @@
   model: string,
   stamp: events.Stamp,
 ): transition.Transition | null => {
-  if (!canSendAgain(current, request, routed, stamp.nowMs)) {
+  const resolved = routedResolve.resolveRequest(current, request);
+  // Its model was chosen for the route as it was, so an answer is kept once that has changed.
+  if (
+    !canSendAgain(current, request, routed, stamp.nowMs) ||
+    !resolved.ok ||
+    resolved.value !== request
+  ) {
     return null;
   }
   const escalated: requestState.RequestState = {
@@ -172,7 +232,7 @@
   const updated = recordUpstreamFailure(current, attempt.upstreamId, event.nowMs, countFailure);
   const latest = updated.requests.get(request.id) ?? request;
   const hasBegun = request.forwardedAttempt !== null;
-  if (!request.isRepeatable || !canSendAgain(updated, request, routed, event.nowMs)) {
+  if (!request.isRepeatable || !canMove(updated, request, routed, event.nowMs)) {
     return hasBegun
       ? abortAnswer(updated, { request: latest, routed, attempt }, event)
       : transition.makeTransition(
@@ -257,7 +317,7 @@
 ): transition.Transition => {
   const { request, routed, attempt } = target;
   return request.isRepeatable &&
-    canSendAgain(current, request, routed, stamp.nowMs) &&
+    canMove(current, request, routed, stamp.nowMs) &&
     hasPlaceForRest(current, target, stamp)
     ? moveAttempt(current, attempt, request.id, stamp)
     : rerouteUnsent(current, target);
--- a/packages/core/src/timers.ts
+++ b/packages/core/src/timers.ts
@@ -92,8 +92,10 @@
 const TIMER_HANDLERS: Readonly<Record<events.Timer['kind'], TimerHandler>> = {
   hedge: hedgeRequest,
   queueDeadline: expireQueued,
-  routedTimeout: (current, request, _, stamp) =>
-    routedExpiry.expireRequest(current, request.id, stamp),
+  routedTimeout: (current, _, timer, stamp) =>
+    timer.kind === 'routedTimeout'
+      ? routedExpiry.expireRequest(current, timer, stamp)
+      : transition.makeTransition(current),
   retry: retryRequest,
 };
 
--- a/packages/router/__tests__/queuedTimeouts.spec.ts
+++ b/packages/router/__tests__/queuedTimeouts.spec.ts
@@ -38,7 +38,7 @@
     const startedAtMs = performance.now();
     makeRunners(barrier, events).armTimer?.({
       type: 'armTimer',
-      timer: { kind: 'routedTimeout', requestId: 'a' },
+      timer: { kind: 'routedTimeout', requestId: 'a', deadlineAtMs: 0 },
       delayMs: TIMEOUT_MS,
     });
     let firedAfterMs = Infinity;
