fix(router): a request that waits for a connection at its time-out is refused as not run

Seen: "a request that no peer can pass on is refused as not run, and has not run" (unreachableUpstreams.spec.ts) got 504 for 503 in 2 of 11 whole runs of the file (load average 15 and 18), and in 3 of 5 runs of the test alone beside four busy loops: the caller was told that its request may have run, and may not send it again, though nothing had been sent.

Cause: each started attempt counts as a possible execution until it fails as unsent. A request without a reachable upstream tries again and again, and is refused as not run when 30 ms are left (MIN_REMAINING_MS). Where turns of the event loop are long, its time-out fires earlier than that (computeTimeoutLeadMs), and finds an attempt that waits for its connection.

Change: the event of a time-out says how many of the request's attempts have handed nothing to a connection; they do not count as executions. They are cancelled in the same turn, and a cancelled attempt is not sent.

Weighed: an event for each attempt that is sent (one more event for every request); dropping the unsent attempts before the time-out (they would be placed again at once, since time is left). The end of a stop (stopExpired) counts as before; it can use the same number.

The whole core and router tests were not run again on this commit.

Not changed: such a request is tried about 10,000 times in 1.5 s, without a pause.

--- a/packages/core/__tests__/unsentRepeats.spec.ts
+++ b/packages/core/__tests__/unsentRepeats.spec.ts
@@ -53,3 +53,17 @@
     ?.buckets.reduce((sum, bucket) => sum + bucket.firstSends, 0);
   t.true((firstSends ?? 0) <= 1, `${firstSends} first sends of one request`);
 });
+
+// What waited for a connection at its deadline counted as sent.
+([0, 1] as const).forEach((unsentCount) => {
+  test(`a request at its deadline is refused as not run if nothing of it was sent (${unsentCount} of 1 attempt unsent)`, (t) => {
+    const driver = routedFixtures.makeRoutedDriver(['u1', 'u2']);
+    routedFixtures.sendCall(driver, 'a', { path: '/issue/', deadlineMs: 1_000 }, 0, 5_000);
+    const timer = { kind: 'routedTimeout', requestId: 'a', deadlineAtMs: 6_000 } as const;
+    const effects = driver.send({ type: 'timerFired', timer, unsentCount }, 6_000);
+    t.is(
+      fixtures.pickEffects(effects, 'refuse')[0]?.code,
+      unsentCount === 1 ? 'overloaded' : 'deadlineExceeded',
+    );
+  });
+});
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -113,7 +113,11 @@
   readonly answerRated: { readonly requestId: string; readonly score: number | null };
   readonly entryWitnessed: { readonly requestId: string };
   readonly callerGone: { readonly requestId: string };
-  readonly timerFired: { readonly timer: Timer };
+  readonly timerFired: {
+    readonly timer: Timer;
+    /** Number of the request's running attempts of which nothing has been sent. */
+    readonly unsentCount?: number;
+  };
   readonly ratingArrived: {
     readonly customer: string;
     readonly plan: string;
--- a/packages/core/src/routed/routedExpiry.ts
+++ b/packages/core/src/routed/routedExpiry.ts
@@ -19,10 +19,14 @@
     delayMs: Math.max(0, deadlineAtMs - nowMs),
   });
 
-/** Ends a request whose deadline or route timeout has passed; a timer of an earlier deadline ends nothing. */
+/**
+ * Ends a request whose deadline or route timeout has passed; a timer of an earlier deadline ends nothing. `unsentCount` of
+ * its attempts still wait for a connection; nothing of them is sent once they are cancelled.
+ */
 export const expireRequest = (
   current: routerState.RouterState,
   { requestId, deadlineAtMs }: events.TimerOf<'routedTimeout'>,
+  unsentCount: number,
   stamp: events.Stamp,
 ): transition.Transition => {
   const request = current.requests.get(requestId);
@@ -31,14 +35,11 @@
   }
   const dequeued = dispatch.removeFromQueue(current, request, stamp.nowMs);
   const cancelled = slots.cancelAttempts(dequeued, request.id, request.attempts, stamp);
-  return transition.composeTransition(cancelled, (next) =>
-    routedRefusal.endUnanswered(
-      next,
-      next.requests.get(requestId) ?? request,
-      'deadlineExceeded',
-      stamp,
-    ),
-  );
+  return transition.composeTransition(cancelled, (next) => {
+    const latest = next.requests.get(requestId) ?? request;
+    const counted = { ...latest, sentCount: latest.sentCount - unsentCount };
+    return routedRefusal.endUnanswered(next, counted, 'deadlineExceeded', stamp);
+  });
 };
 
 /** Ends a request of a stopping router; another router can serve it at once if nothing can have been executed. */
--- a/packages/core/src/timers.ts
+++ b/packages/core/src/timers.ts
@@ -18,7 +18,7 @@
   current: routerState.RouterState,
   request: requestState.RequestState,
   timer: events.Timer,
-  stamp: events.Stamp,
+  event: events.EventOf<'timerFired'>,
 ) => transition.Transition;
 
 const hedgeRequest: TimerHandler = (current, request, timer, stamp) => {
@@ -92,9 +92,9 @@
 const TIMER_HANDLERS: Readonly<Record<events.Timer['kind'], TimerHandler>> = {
   hedge: hedgeRequest,
   queueDeadline: expireQueued,
-  routedTimeout: (current, _, timer, stamp) =>
+  routedTimeout: (current, _, timer, event) =>
     timer.kind === 'routedTimeout'
-      ? routedExpiry.expireRequest(current, timer, stamp)
+      ? routedExpiry.expireRequest(current, timer, event.unsentCount ?? 0, event)
       : transition.makeTransition(current),
   retry: retryRequest,
 };
--- a/packages/router/src/routed/pendingRoutedRequest.ts
+++ b/packages/router/src/routed/pendingRoutedRequest.ts
@@ -5,6 +5,8 @@
 export interface RunningAttempt {
   /** Cancels the attempt and closes its connection, which signals the upstream to stop. */
   readonly cancel: () => void;
+  /** Returns whether nothing of the request has been handed to a connection. */
+  readonly isUnsent: () => boolean;
   /** Fails the attempt as unsent if it is still waiting for a connection. */
   readonly dropUnsent: () => void;
   /** Forwards the answer to the caller, beginning with the buffered part. */
--- a/packages/router/src/routed/routedAttempt.ts
+++ b/packages/router/src/routed/routedAttempt.ts
@@ -514,6 +514,7 @@
       stopTimer();
       abort('the router no longer needs the answer');
     },
+    isUnsent: () => !isStarted,
     dropUnsent: () => {
       if (!isStarted) {
         abortAndFail('unreachable', 'the upstream cannot be reached and nothing was sent');
--- a/packages/router/src/routed/routedRunners.ts
+++ b/packages/router/src/routed/routedRunners.ts
@@ -258,7 +258,12 @@
     timer.kind === 'routedTimeout'
       ? timeoutLead.computeTimeoutLeadMs(delayMs, context.loop.getRecentTurnMs())
       : 0;
-  const fire = (): void => timerEvents.dispatchTimer(context.barrier, context.runtime, timer);
+  const countUnsent = (): number =>
+    Array.from(context.pending.get(timer.requestId)?.attempts.values() ?? []).filter((attempt) =>
+      attempt.isUnsent(),
+    ).length;
+  const fire = (): void =>
+    timerEvents.dispatchTimer(context.barrier, context.runtime, timer, countUnsent);
   setTimeout(() => {
     const pending = context.pending.get(timer.requestId);
     if (timer.kind === 'routedTimeout' && pending?.isHeadWritten === true) {
--- a/packages/router/src/timerEvents.ts
+++ b/packages/router/src/timerEvents.ts
@@ -10,13 +10,18 @@
   retry: false,
 };
 
-/** Dispatches a timer that fired after the input that had arrived was read: an answer in time prevents its effect. */
+/**
+ * Dispatches a timer that fired after the input that had arrived was read: an answer in time prevents its effect.
+ * `countUnsent` counts the request's attempts of which nothing has been sent by then.
+ */
 export const dispatchTimer = (
   barrier: inputBarrier.InputBarrier,
   runtime: routerRuntime.Runtime,
   timer: core.events.Timer,
+  countUnsent: () => number = () => 0,
 ): void => {
-  const dispatch = (): void => runtime.dispatch({ type: 'timerFired', timer });
+  const dispatch = (): void =>
+    runtime.dispatch({ type: 'timerFired', timer, unsentCount: countUnsent() });
   if (IS_TIMEOUT[timer.kind]) {
     barrier.runDue(dispatch);
   } else {
