--- a/packages-private/measure/__tests__/lostAnswers.spec.ts
+++ b/packages-private/measure/__tests__/lostAnswers.spec.ts
@@ -465,3 +465,51 @@
   t.true(caller.getText().endsWith('answered'), caller.getText());
   t.is(await ended, 0);
 });
+
+// Answers were cut off at a router that got several signals.
+test.serial('a series of signals does not cut the streams in flight', async (t) => {
+  const upstream = await standIns.routedUpstream.startRoutedUpstream('u-0');
+  t.teardown(upstream.close);
+  const store = await standIns.platformStore.startPlatformStore();
+  t.teardown(store.close);
+  routedSite.writeUpstreamEntry(store, upstream);
+  store.put(platform.wire.KEYS.configuration, routedSite.makeConfiguration(1, LONG_ROUTES));
+  const settings = routerSettings.makeRouterSettings('127.0.47.12', {
+    kind: 'managed',
+    storeAddress: store.address,
+    bounds: { graceMs: GRACE_MS },
+  });
+  const { child, ended } = startProcess(t, settings);
+  const agent = new http.Agent();
+  t.teardown(() => agent.destroy());
+  await standIns.control.waitUntil(async () => {
+    const call = { path: '/safe/', id: 'first' };
+    const { status } = await routedSite
+      .sendCall('127.0.47.12:7401', call, agent)
+      .catch(() => ({ status: 0 }));
+    return status === 200;
+  });
+  upstream.behaviour = { kind: 'stream', events: 20, pauseMs: 150 };
+  const ids = ['begun', 'beginning'];
+  const callers = await Promise.all(ids.map(() => connectRaw('127.0.47.12:7401')));
+  callers[0]?.socket.write(renderHead('begun', '/streaming/'));
+  await standIns.control.waitUntil(() => callers[0]?.getText().includes('piece 1') === true);
+  callers[1]?.socket.write(renderHead('beginning', '/streaming/'));
+  for (const name of ['SIGTERM', 'SIGHUP', 'SIGINT', 'SIGTERM', 'SIGHUP'] as const) {
+    child.kill(name);
+    // eslint-disable-next-line no-await-in-loop -- each signal follows a pause
+    await standIns.control.wait(100);
+  }
+  await Promise.all(callers.map(({ closed }) => closed));
+  callers.forEach(({ getText }) => {
+    const answer = getText();
+    t.is(getStatus(answer), 200);
+    t.true(isWholeAnswer(answer), answer);
+    t.true(answer.includes('piece 20'), answer);
+  });
+  t.deepEqual(
+    ids.map((id) => upstream.received.filter((request) => request.id === id).length),
+    [1, 1],
+  );
+  t.is(await ended, 0);
+});
