fix(core): a router that no longer hears its peers goes on counting the exposure of a version

What callers could see: a new version got more than the allowed share. With two routers and a peer that falls silent in a roll-out, 59 of 125 requests, 48.75 allowed.

Cause: whether a router has all evidence depends on what it has heard lately since, and the counts by which the share before the ramp is spent depended on that as well. They stood still, so that the slack never counted as spent.

Change: a router with the role of those that get all evidence counts what it has; only the end of a roll-out asks whether it is in touch. A router that knows of others only as listed is out of touch too.

Evidence: "a router whose peer falls silent and ... stays within the allowed exposure" failed before (59, 48.75 allowed) for a peer that stays a member and one that is declared dead, and passes now.

--- a/packages/core/__tests__/rolloutEvidence.spec.ts
+++ b/packages/core/__tests__/rolloutEvidence.spec.ts
@@ -13,13 +13,13 @@
 /** Time of its last request; until the ramp its session keeps the previous version. */
 const LAST_REQUEST_AT_MS = 18_000;
 
-/** Serves a request that takes no time; a version that is bad answers it with an error. */
+/** Serves a request that takes no time, and returns its upstream; a version that is bad answers it with an error. */
 const serveRequest = (
   router: rolloutFleet.FleetRouter,
   session: string | null,
   atMs: number,
   isBad = false,
-): void => {
+): string | undefined => {
   const requestId = `${router.id}-${atMs}`;
   const call = routedFixtures.makeCall({ path: '/issue/', session, deadlineMs: 60_000 });
   router.send({ type: 'routedRequestArrived', requestId, call, tableAgeMs: 0, waitedMs: 0 }, atMs);
@@ -29,6 +29,7 @@
   const head = { status, confidence: null };
   router.send({ type: 'routedHeadArrived', requestId, attemptId, head }, atMs);
   router.send({ type: 'routedAttemptEnded', requestId, attemptId, events: 0, streamMs: 0 }, atMs);
+  return attempt?.upstreamId;
 };
 
 /** Tells a router that a peer was declared dead. */
@@ -215,6 +216,41 @@
   });
 });
 
+/** Requests of a roll-out, few enough for the slack of the exposure to count. */
+const FEW_REQUESTS = 125;
+
+['stays a member', 'is declared dead'].forEach((fate) => {
+  test(`a router whose peer falls silent and ${fate} stays within the allowed exposure`, (t) => {
+    const [router, peer] = makeFleet(2);
+    if (router === undefined || peer === undefined) {
+      t.fail();
+      return;
+    }
+    const exposure = { share: 0.15, slack: 30 };
+    const { settings } = router.getState().routed;
+    router.send({ type: 'routedSettingsChanged', settings: { ...settings, exposure } }, 0);
+    rolloutFleet.sendObserved(router, 0, 0);
+    const { periodMs } = rolloutFleet.ORDER;
+    const stepMs = periodMs / FEW_REQUESTS;
+    const upstreamIds = Array.from({ length: FEW_REQUESTS }, (_, index) => index * stepMs).map(
+      (atMs) => {
+        if (atMs % rolloutFleet.REPORT_MS === 0 && atMs < STOPPED_AT_MS) {
+          const { service, to, revision } = rolloutFleet.ORDER;
+          const report = { source: peer.id, service, to, revision, isBad: false, rows: [] };
+          router.send({ type: 'canaryReportReceived', ...report, oldRunning: 0 }, atMs);
+        }
+        if (atMs > DECLARED_DEAD_AT_MS && fate === 'is declared dead') {
+          sendDeath(router, peer, atMs);
+        }
+        router.send({ type: 'ticked' }, atMs);
+        return serveRequest(router, null, atMs);
+      },
+    );
+    const count = upstreamIds.filter((id) => id === 'on-v2').length;
+    t.true(count <= exposure.share * FEW_REQUESTS + exposure.slack, `${count}`);
+  });
+});
+
 test('a member that was declared dead and answers is a member again', (t) => {
   const [router, peer] = [0, 1].map((index) => rolloutFleet.makeRouter(index, 2, () => 0));
   if (router === undefined || peer === undefined) {
--- a/packages/core/src/routed/canaryHandlers.ts
+++ b/packages/core/src/routed/canaryHandlers.ts
@@ -210,7 +210,7 @@
 /** Interval between evaluations of a canary's evidence, whose cost grows with the fleet, in milliseconds. */
 const EVALUATION_MS = 200;
 
-/** Evaluates a running canary's evidence at an interval, and counts it if it is that of all routers. */
+/** Evaluates a running canary's evidence at an interval, and counts it if this router gets that of all routers. */
 const evaluateEvidence = (
   current: routerState.RouterState,
   canary: canaryState.Canary,
@@ -220,7 +220,8 @@
     return canary;
   }
   const evaluated = canaryState.evaluateCanary({ ...canary, evaluatedAtMs: nowMs });
-  return evidenceRoles.hasAllEvidence(current, canary, nowMs)
+  // The exposure is spent by these counts, whether the peers are heard or not.
+  return evidenceRoles.hasEvidenceRole(current)
     ? canaryState.countPooled(evaluated, nowMs)
     : evaluated;
 };
--- a/packages/core/src/routed/evidenceRoles.ts
+++ b/packages/core/src/routed/evidenceRoles.ts
@@ -21,8 +21,14 @@
     .listRoleHolders(current.members, 'trialEvidence', zone, AGGREGATORS_PER_ZONE)
     .map((member) => member.address);
 
+/** Returns whether this router has the role of those that get the evidence of all routers. */
+export const hasEvidenceRole = (current: routerState.RouterState): boolean =>
+  !hasAggregators(current) ||
+  listAggregators(current, current.self.zone).includes(current.self.address);
+
+/** Returns whether this router knows of others, met or listed. */
 const hasPeers = (current: routerState.RouterState): boolean =>
-  memberTable.listActiveMembers(current.members).length > 0;
+  memberTable.listPeerAddresses(current.members).length > 0;
 
 /** Returns whether this router has peers and does not hear what they know of a roll-out, as after it stood still. */
 export const isOutOfTouch = (
@@ -40,11 +46,6 @@
   canary: canaryState.Canary,
   nowMs: number,
 ): boolean => {
-  const hasRole =
-    !hasAggregators(current) ||
-    listAggregators(current, current.self.zone).includes(current.self.address);
-  const wasAlone =
-    memberTable.listPeerAddresses(current.members).length === 0 &&
-    canary.previousInFlight.isEmpty();
-  return hasRole && (wasAlone || canaryState.hasRecentReport(canary, nowMs));
+  const wasAlone = !hasPeers(current) && canary.previousInFlight.isEmpty();
+  return hasEvidenceRole(current) && (wasAlone || canaryState.hasRecentReport(canary, nowMs));
 };
