fix(core): counts of a report that waited do not replace those of a later one

What callers could see: the share of a new version rose again by counts from before a router stood still.

Cause: dated a report by its sending for the requests in flight, and still dated its counts by its reading.

Change: one date for all of a report, which mergeReport takes as a whole now; later counts are kept.

--- a/packages/core/__tests__/canaryState.spec.ts
+++ b/packages/core/__tests__/canaryState.spec.ts
@@ -278,15 +278,19 @@
     500,
   );
   const rows = core.canaryState.listRecentRows(counted, new Set(['r2']), 3, 500);
-  const once = core.canaryState.mergeReport(own, 'r2', rows, 0, 600);
-  const twice = core.canaryState.mergeReport(once, 'r2', rows, 0, 700);
+  const once = core.canaryState.mergeReport(own, { source: 'r2', rows, oldRunning: 0 }, 600);
+  const twice = core.canaryState.mergeReport(once, { source: 'r2', rows, oldRunning: 0 }, 700);
   t.true(twice.rows.equals(once.rows));
 });
 
 test('a roll-out completes only when no requests run on previous versions, or the period ends', (t) => {
   const order = { ...ORDER, periodMs: 60_000 };
   const canary = core.canaryState.makeCanary(order, 'running', 0, EXPOSURE);
-  const busy = core.canaryState.mergeReport(canary, 'r2', [], 3, 57_900);
+  const busy = core.canaryState.mergeReport(
+    canary,
+    { source: 'r2', rows: [], oldRunning: 3 },
+    57_900,
+  );
   t.is(core.canaryState.evaluateOutcome(busy, 0, 58_000), null);
   t.is(core.canaryState.evaluateOutcome(canary, 2, 58_000), null);
   t.is(core.canaryState.evaluateOutcome(canary, 0, 58_000), 'completed');
@@ -315,11 +319,9 @@
   t.is(core.canaryState.evaluateOutcome(addAnswers(8), 0, lastTickMs, true, false), 'rolledBack');
   // A router that does not have the evidence of others cannot know.
   t.is(core.canaryState.evaluateOutcome(untried, 0, lastTickMs, false), null);
-  const told = core.canaryState.mergeReport(untried, 'r2', [], 0, 2_000, {
-    answers: 40,
-    newAnswers: 4,
-    perSecond: 20,
-  });
+  const pooled = { answers: 40, newAnswers: 4, perSecond: 20 };
+  const report = { source: 'r2', rows: [], oldRunning: 0, pooled };
+  const told = core.canaryState.mergeReport(untried, report, 2_000);
   t.is(core.canaryState.evaluateOutcome(told, 0, lastTickMs, false), 'completed');
 });
 
--- a/packages/core/__tests__/sessionVersions.spec.ts
+++ b/packages/core/__tests__/sessionVersions.spec.ts
@@ -109,15 +109,36 @@
   const start = core.canaryState.makeCanary(order, 'running', 0, exposure);
   const few = { answers: 2_000, newAnswers: 100, perSecond: 100 };
   const many = { answers: 2_000, newAnswers: 400, perSecond: 150 };
-  const early = core.canaryState.mergeReport(start, 'zone:a', [], 0, 18_000, few);
+  const report = { source: 'zone:a', rows: [], oldRunning: 0 };
+  const early = core.canaryState.mergeReport(start, { ...report, pooled: few }, 18_000);
   const atMs = Array.from({ length: 200 }, (_, index) => 18_000 + index * 10).find(
     (time) => core.canaryState.getTrafficShare(early, time, true) > 0.9,
   );
   t.truthy(atMs);
-  const late = core.canaryState.mergeReport(early, 'zone:a', [], 0, atMs ?? 0, many);
+  const late = core.canaryState.mergeReport(early, { ...report, pooled: many }, atMs ?? 0);
   t.true(core.canaryState.getTrafficShare(late, atMs ?? 0, true) > 0.9);
 });
 
+test('counts of a report that waited do not replace those of a later one', (t) => {
+  const exposure = { share: 0.15, slack: 30 };
+  const order = { service: 'desk', to: 'v2', periodMs: PERIOD_MS, revision: 3 };
+  const start = core.canaryState.makeCanary(order, 'running', 0, exposure);
+  const report = { source: 'zone:a', rows: [], oldRunning: 0, isWitnessed: true };
+  const later = { answers: 900, newAnswers: 60, perSecond: 100 };
+  const earlier = { answers: 200, newAnswers: 10, perSecond: 100 };
+  const known = core.canaryState.mergeReport(
+    start,
+    { ...report, ageMs: 9_000, pooled: later },
+    9_000,
+  );
+  const read = core.canaryState.mergeReport(
+    known,
+    { ...report, ageMs: 4_000, pooled: earlier },
+    9_100,
+  );
+  t.is(read.pooled?.answers, later.answers);
+});
+
 test('a router whose wall clock is ahead of the record of a roll-out does not move sessions early', (t) => {
   const driver = makeRouter();
   const order = { service: 'desk', to: 'v2', periodMs: PERIOD_MS, revision: 3 };
--- a/packages/core/src/routed/canaryHandlers.ts
+++ b/packages/core/src/routed/canaryHandlers.ts
@@ -115,13 +115,22 @@
   order: canaryState.RolloutOrder,
 ): boolean => revision === order.revision && (to === undefined || to === order.to);
 
+/** Finds the canary of the current order to which a peer's message belongs. */
+const findTold = (
+  current: routerState.RouterState,
+  told: canaryState.CanaryAge,
+): canaryState.Canary | undefined => {
+  const canary = current.routed.canaries.get(told.service);
+  return canary !== undefined && isReportOn(told, canary.order) ? canary : undefined;
+};
+
 /** Merges the age of the current order that a peer told this router at its start; ignores those of other orders. */
 const handleCanaryAge = (
   current: routerState.RouterState,
   event: events.EventOf<'canaryAgeReceived'>,
 ): transition.Transition => {
-  const canary = current.routed.canaries.get(event.service);
-  if (canary === undefined || !isReportOn(event, canary.order)) {
+  const canary = findTold(current, event);
+  if (canary === undefined) {
     return transition.makeTransition(current);
   }
   const aged = canaryState.mergeAge(canary, event, event.nowMs);
@@ -136,20 +145,12 @@
   current: routerState.RouterState,
   event: events.EventOf<'canaryReportReceived'>,
 ): transition.Transition => {
-  const canary = current.routed.canaries.get(event.service);
-  if (canary === undefined || !isReportOn(event, canary.order)) {
+  const canary = findTold(current, event);
+  if (canary === undefined) {
     return transition.makeTransition(current);
   }
   const aged = canaryState.mergeAge(canary, event, event.nowMs);
-  const merged = canaryState.mergeReport(
-    aged,
-    event.source,
-    event.rows,
-    event.oldRunning,
-    event.nowMs,
-    event.pooled ?? null,
-    canaryState.getReportedAtMs(aged, event, event.nowMs),
-  );
+  const merged = canaryState.mergeReport(aged, event, event.nowMs);
   return transition.makeTransition(
     withCanary(current, event.isBad ? { ...merged, isBad: true } : merged),
     ...logStartChange(canary, aged, event.source),
--- a/packages/core/src/routed/canaryState.ts
+++ b/packages/core/src/routed/canaryState.ts
@@ -153,7 +153,7 @@
 /** Answers that a version should have had by its share, from which none shows that it could not be tried. */
 const MIN_EXPECTED_ANSWERS = 5;
 /** Age above which a report no longer tells what its sender knows, in milliseconds. */
-const IDLE_REPORT_MS = 2_500;
+const RECENT_REPORT_MS = 2_500;
 /**
  * Time within which a router that knows the age of an order from wall clocks alone ends no roll-out by its schedule, in
  * milliseconds; a peer that knows better has reported several times by then.
@@ -275,9 +275,14 @@
 const isRamping = (canary: Canary, nowMs: number): boolean =>
   getTrafficShare(canary, nowMs) > computeCanaryShare(canary);
 
-/** Sets the counts of all routers; they stay as they are during the ramp, since sessions must not go back. */
-const withPooled = (canary: Canary, pooled: PooledCounts | null, nowMs: number): Canary =>
-  pooled === null || isRamping(canary, nowMs) ? canary : { ...canary, pooled };
+/**
+ * Sets the counts of all routers unless later ones are known; they stay as they are during the ramp, since sessions must not
+ * go back.
+ */
+const withPooled = (canary: Canary, pooled: PooledCounts, nowMs: number): Canary =>
+  isRamping(canary, nowMs) || (canary.pooled?.atMs ?? -Infinity) > pooled.atMs
+    ? canary
+    : { ...canary, pooled };
 
 /** Counts the answers in the evidence, which must be that of all routers, unless the ramp has begun. */
 export const countPooled = (canary: Canary, nowMs: number): Canary => {
@@ -337,35 +342,11 @@
   return { ...canary, rows: canary.rows.set(key, { source, row }) };
 };
 
-/** Merges the rows of a peer's report; a row with more answers replaces an earlier one, so merging is idempotent. */
-export const mergeReport = (
-  canary: Canary,
-  source: string,
-  rows: readonly canaryEvidence.EvidenceRow[],
-  inFlightCount: number,
-  nowMs: number,
-  pooled: Omit<PooledCounts, 'atMs'> | null = null,
-  reportedAtMs = nowMs,
-): Canary => ({
-  ...withPooled(canary, pooled === null ? null : { ...pooled, atMs: nowMs }, nowMs),
-  rows: rows.reduce((merged, row) => {
-    const key = makeRowKey(source, row);
-    const existing = merged.get(key);
-    return existing !== undefined && existing.row.answers >= row.answers
-      ? merged
-      : merged.set(key, { source, row });
-  }, canary.rows),
-  previousInFlight:
-    (canary.previousInFlight.get(source)?.atMs ?? -Infinity) > reportedAtMs
-      ? canary.previousInFlight
-      : canary.previousInFlight.set(source, { count: inFlightCount, atMs: reportedAtMs }),
-});
-
 /**
  * Returns the time at which a report was sent, on this router's clock, in milliseconds. It may have waited while this router
  * stood still; the age of the order that it tells dates it, unless that comes from wall clocks.
  */
-export const getReportedAtMs = (
+const getReportedAtMs = (
   canary: Canary,
   told: Pick<CanaryReport, 'ageMs' | 'isWitnessed'>,
   nowMs: number,
@@ -374,6 +355,31 @@
     ? nowMs
     : Math.min(nowMs, canary.startedAtMs + told.ageMs);
 
+/** Merges a peer's report; a row with more answers replaces an earlier one, so merging is idempotent. */
+export const mergeReport = (
+  canary: Canary,
+  report: Pick<CanaryReport, 'source' | 'rows' | 'oldRunning' | 'pooled' | 'ageMs' | 'isWitnessed'>,
+  nowMs: number,
+): Canary => {
+  const { source, rows, oldRunning, pooled = null } = report;
+  const atMs = getReportedAtMs(canary, report, nowMs);
+  const counted = pooled === null ? canary : withPooled(canary, { ...pooled, atMs }, nowMs);
+  return {
+    ...counted,
+    rows: rows.reduce((merged, row) => {
+      const key = makeRowKey(source, row);
+      const existing = merged.get(key);
+      return existing !== undefined && existing.row.answers >= row.answers
+        ? merged
+        : merged.set(key, { source, row });
+    }, canary.rows),
+    previousInFlight:
+      (canary.previousInFlight.get(source)?.atMs ?? -Infinity) > atMs
+        ? canary.previousInFlight
+        : canary.previousInFlight.set(source, { count: oldRunning, atMs }),
+  };
+};
+
 /**
  * Merges the age of the order that a peer tells. Each age that a steady clock has counted is at most the true one, so the
  * greater one holds; one that goes back to wall clocks may be too great, and yields to any that does not.
@@ -422,13 +428,13 @@
 
 /** Returns whether a peer has reported on a canary lately. */
 export const hasRecentReport = (canary: Canary, nowMs: number): boolean =>
-  canary.previousInFlight.some((report) => nowMs - report.atMs <= IDLE_REPORT_MS);
+  canary.previousInFlight.some((report) => nowMs - report.atMs <= RECENT_REPORT_MS);
 
 /** Returns whether neither this router nor any recent report has requests in flight on the previous versions. */
 const isPreviousIdle = (canary: Canary, ownInFlight: number, nowMs: number): boolean =>
   ownInFlight === 0 &&
   canary.previousInFlight.every(
-    (report) => report.count === 0 || nowMs - report.atMs > IDLE_REPORT_MS,
+    (report) => report.count === 0 || nowMs - report.atMs > RECENT_REPORT_MS,
   );
 
 const hasNewAnswers = (canary: Canary, rows: readonly canaryEvidence.EvidenceRow[]): boolean =>
