fix(core): news of a later process of an upstream does not undo what is known of the listed one

What callers could see: an upstream that leaves got requests again when its entry lapsed and came back, after news of its next process.

Cause: one process is remembered an upstream; lets a later one replace it. The order in which news is left out when there is too much of it was that of the first news of an upstream, not of the latest.

Change: while the listed process is known to leave, news of another one waits for its next repetition. The latest news is told.

Evidence: "news of a later process does not bring back the listed one that leaves" failed before (live) and passes now.

--- a/packages/core/__tests__/upstreamNotices.spec.ts
+++ b/packages/core/__tests__/upstreamNotices.spec.ts
@@ -192,6 +192,17 @@
   t.is(getHostState(driver, 'u1'), 'leaving');
 });
 
+test('news of a later process does not bring back the listed one that leaves', (t) => {
+  const driver = routedFixtures.makeRoutedDriver(IDS);
+  const present = routedFixtures.makeHost('u1', { bornAtMs: 2 });
+  driver.send({ type: 'hostChanged', host: present }, 0);
+  driver.send({ type: 'noticeObserved', upstreamId: 'u1', isLeaving: true, restMs: null }, 0);
+  driver.send({ type: 'leavingNewsReceived', news: [{ upstreamId: 'u1', bornAtMs: 3 }] }, 0);
+  driver.send({ type: 'hostRemoved', hostId: 'u1' }, 0);
+  driver.send({ type: 'hostChanged', host: present }, 1_000);
+  t.is(getHostState(driver, 'u1'), 'leaving');
+});
+
 const ANSWER_MS = 20;
 
 /** Answers the attempts among the effects of an event, all equally fast, and returns their upstreams. */
--- a/packages/core/src/notices/leavingNews.ts
+++ b/packages/core/src/notices/leavingNews.ts
@@ -14,7 +14,7 @@
 /** Largest number of processes in one message; the latest are told. */
 const MAX_NEWS = 512;
 
-const makeNewsSince = (
+const listNews = (
   leaving: leavingProcesses.LeavingProcesses,
   nowMs: number,
   isDue: (bornAtMs: number | null, ageMs: number) => boolean,
@@ -27,17 +27,18 @@
       ageMs: Math.max(0, nowMs - sinceMs),
     }))
     .filter(({ bornAtMs, ageMs }) => isDue(bornAtMs, ageMs))
-    .takeLast(MAX_NEWS)
+    .sortBy(({ ageMs }) => ageMs)
+    .take(MAX_NEWS)
     .toArray();
 
 /** Makes the news that repeat which processes have said of late that they leave. */
 export const makeNews = (
   leaving: leavingProcesses.LeavingProcesses,
   nowMs: number,
-): readonly LeavingNews[] => makeNewsSince(leaving, nowMs, (_, ageMs) => ageMs < REPEATED_MS);
+): readonly LeavingNews[] => listNews(leaving, nowMs, (_, ageMs) => ageMs < REPEATED_MS);
 
 /** Makes the news for a router that has just joined: all processes that are remembered. */
 export const makeFullNews = (
   leaving: leavingProcesses.LeavingProcesses,
   nowMs: number,
-): readonly LeavingNews[] => makeNewsSince(leaving, nowMs, leavingProcesses.isRemembered);
+): readonly LeavingNews[] => listNews(leaving, nowMs, leavingProcesses.isRemembered);
--- a/packages/core/src/notices/leavingProcesses.ts
+++ b/packages/core/src/notices/leavingProcesses.ts
@@ -11,7 +11,7 @@
   readonly sinceMs: number;
 }
 
-/** Processes that have said that they leave, by the id of their upstream, the oldest first. */
+/** Processes that have said that they leave, by the id of their upstream, in the order in which this router heard of them. */
 export type LeavingProcesses = immutable.OrderedMap<string, LeavingProcess>;
 
 /** State of a router to which no upstream has said that it leaves. */
@@ -33,7 +33,7 @@
   upstreamId: string,
   process: LeavingProcess,
 ): LeavingProcesses => {
-  const added = leaving.set(upstreamId, process);
+  const added = leaving.remove(upstreamId).set(upstreamId, process);
   return added.size > MAX_PROCESSES ? added.skip(added.size - MAX_PROCESSES) : added;
 };
 
--- a/packages/core/src/notices/noticeHandlers.ts
+++ b/packages/core/src/notices/noticeHandlers.ts
@@ -122,7 +122,22 @@
         },
   );
 
-/** Applies the news of a peer; what it tells of a process without a known start time holds for listed ones only. */
+/** Applies what a peer tells of a process; what is known of a listed one that leaves holds until its entry goes. */
+const applyNews = (
+  current: routerState.RouterState,
+  news: leavingNews.LeavingNews,
+  nowMs: number,
+): transition.Transition => {
+  const host = current.upstreams.get(news.upstreamId)?.host;
+  if (host !== undefined && (host.bornAtMs ?? null) === news.bornAtMs) {
+    return markLeaving(current, news.upstreamId, nowMs, news.ageMs);
+  }
+  return host !== undefined && leavingProcesses.isLeaving(current.leaving, host, nowMs)
+    ? transition.makeTransition(current)
+    : recordUnlisted(current, news, nowMs);
+};
+
+/** Applies a peer's news. News without a start time holds only for listed processes. */
 export const mergeNews = (
   current: routerState.RouterState,
   news: readonly leavingNews.LeavingNews[],
@@ -132,12 +147,7 @@
     .filter(({ bornAtMs, ageMs = 0 }) => leavingProcesses.isRemembered(bornAtMs, ageMs))
     .reduce(
       (result, item) =>
-        transition.composeTransition(result, (next) => {
-          const host = next.upstreams.get(item.upstreamId)?.host;
-          return host !== undefined && (host.bornAtMs ?? null) === item.bornAtMs
-            ? markLeaving(next, item.upstreamId, nowMs, item.ageMs)
-            : recordUnlisted(next, item, nowMs);
-        }),
+        transition.composeTransition(result, (next) => applyNews(next, item, nowMs)),
       transition.makeTransition(current),
     );
 
