fix(router): a router that hears news from a failing reader still fails

What operators saw: "store answers" of a router for which neither the store nor a reader answered; routers that follow it found it outdated and avoided it.

Change: the state of the reader is kept with its changes.

Evidence: by reading; sharedStoreAges, storeRecovery, unconfirmedFeeds, prefixFeed and pendingReads pass. No test shows it.

--- a/packages/router/src/routed/sharedStore.ts
+++ b/packages/router/src/routed/sharedStore.ts
@@ -131,14 +131,15 @@
   };
   /**
    * Records the outcome of a read, and when the state that it shows was current; `apply` returns false if it could not be
-   * applied, so that it confirms nothing.
+   * applied, so that it confirms nothing. What a failing source passes on may be news, and it still fails.
    */
   const record = <T extends { readonly currentAfterMs?: number }>(
     reading: freshnessClock.ClockReading,
     outcome: shared.outcome.Outcome<T, stores.prefixStore.WaitError>,
     apply: (value: T) => boolean,
+    isSourceFailing = false,
   ): void => {
-    isFailing = !outcome.ok && outcome.error !== 'compacted';
+    isFailing = isSourceFailing || (!outcome.ok && outcome.error !== 'compacted');
     if (outcome.ok && apply(outcome.value)) {
       clock.confirm(reading, outcome.value.currentAfterMs ?? 0);
     }
@@ -326,7 +327,7 @@
     );
     if (reply !== null) {
       const relayed = decodeWait(reply);
-      record(reading, relayed, known.append);
+      record(reading, relayed, known.append, reply.isFailing);
       return relayed;
     }
     if (performance.now() < batchedUntilMs) {
