fix(router): the pause after a shared read counts from the start of the read

Change: the start is kept with the read that is under way. Evidence: by reading; prefixFeed, pendingReads, storeRecovery pass.

--- a/packages/router/src/routed/prefixFeed.ts
+++ b/packages/router/src/routed/prefixFeed.ts
@@ -65,7 +65,7 @@
 /** Bounds of the exponential backoff after failed calls, in milliseconds, before jitter. */
 const MIN_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 650;
-/** The same after calls that took longer than that, as those without an answer do. */
+/** Upper bound after a call that itself took longer than `MAX_BACKOFF_MS`. */
 const MAX_SHORT_BACKOFF_MS = 200;
 
 /** Starts a feed: reads the prefix, long-polls for changes, and reads it again after a gap in the history. */
@@ -174,18 +174,21 @@
     return null;
   };
   let pendingRead: ReturnType<typeof readOnce> | null = null;
+  let readAtMs = -Infinity;
   /** Reads the prefix, or joins the read that is under way; changes are followed after it has been applied. */
   const readShared = (): ReturnType<typeof readOnce> => {
-    pendingRead ??= readOnce().finally(() => {
-      pendingRead = null;
-    });
+    if (pendingRead === null) {
+      readAtMs = performance.now();
+      pendingRead = readOnce().finally(() => {
+        pendingRead = null;
+      });
+    }
     return pendingRead;
   };
   const readAll = async (): Promise<void> => {
-    const calledAtMs = performance.now();
     const error = await readShared();
     if (error !== null) {
-      await backOff(error, calledAtMs);
+      await backOff(error, readAtMs);
     }
   };
   /** Polls once from a position; returns the error of a poll that failed. */
