--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -97,8 +97,9 @@
   };
   /** Tells all peers what this router knows about requests that crash upstreams. */
   readonly broadcastGuardNews: { readonly news: guardNews.GuardNews };
-  /** Tells all peers about a limit that an upstream names, or that has ended. */
+  /** Tells all peers about upstreams that leave. */
   readonly broadcastLeavingNews: { readonly news: readonly leavingNews.LeavingNews[] };
+  /** Tells all peers about a limit that an upstream names, or that has ended. */
   readonly broadcastRateLimitNews: { readonly news: readonly rateLimitNews.RateLimitNews[] };
   /** Asks the allocator of an upstream for permits to send requests. */
   readonly requestPermits: {
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -247,7 +247,7 @@
   readonly guardNews?: guardNews.GuardNews;
   /** Limits that upstreams name, and those that have ended recently; routers of older versions send none. */
   readonly rateLimitNews?: readonly rateLimitNews.RateLimitNews[];
-  /** Upstreams that said of late, and for a router that has just joined all that said, that they leave; as above. */
+  /** Upstreams that said lately that they leave; all that are remembered for a router that joins. Older versions send none. */
   readonly leavingNews?: readonly leavingNews.LeavingNews[];
 }
 
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -177,12 +177,12 @@
   const limited = transition.composeTransition(compared, (next) =>
     rateLimitHandlers.mergeNews(next, limits, event),
   );
-  const left = transition.composeTransition(limited, (next) =>
+  const informed = transition.composeTransition(limited, (next) =>
     noticeHandlers.mergeNews(next, leaving, event.nowMs),
   );
   return guardNews.isEmpty(news)
-    ? left
-    : transition.composeTransition(left, (next) => routedCrashes.mergeNews(next, news, event));
+    ? informed
+    : transition.composeTransition(informed, (next) => routedCrashes.mergeNews(next, news, event));
 };
 
 /** Asks a few other members to probe a member that did not answer. */
--- a/packages/router/__tests__/peerRoutes.spec.ts
+++ b/packages/router/__tests__/peerRoutes.spec.ts
@@ -73,13 +73,13 @@
     calls += 1;
     return replies[calls - 1];
   };
-  const reportAges = await peerRoutes.fetchPeerRoutes(runtime, {
+  const ages = await peerRoutes.fetchPeerRoutes(runtime, {
     call,
   } as unknown as rpcClient.RpcClient);
   await shared.delay.wait(HELD_MS);
   const order = { service: 'desk', to: 'v2', periodMs: 60_000, revision: 40 };
   runtime.dispatch({ type: 'canaryObserved', order, stage: 'running', elapsedMs: RECORDED_AGE_MS });
-  reportAges();
+  peerRoutes.reportAges(runtime, ages);
   const canary = runtime.getState().routed.canaries.get('desk');
   const startedAgoMs = runtime.getNowMs() - (canary?.startedAtMs ?? 0);
   t.true(startedAgoMs >= age.ageMs + HELD_MS - TIMER_EARLY_MS);
--- a/packages/router/src/routed/routeSource.ts
+++ b/packages/router/src/routed/routeSource.ts
@@ -14,8 +14,8 @@
   readonly clock: freshnessClock.FreshnessClock;
   /** Returns the time within which news of the source has to be in force, in milliseconds. */
   readonly getNewsMs: () => number;
-  /** Adopts the newest table of routes that peers have; called once their addresses are known. */
-  readonly fetchPeerRoutes: () => Promise<peerRoutes.AgeTeller>;
+  /** Adopts the newest table of routes that peers have, and returns the ages of orders; called once their addresses are known. */
+  readonly fetchPeerRoutes: () => Promise<readonly peerRoutes.ToldAge[]>;
   readonly client: rpcClient.RpcClient;
 }
 
--- a/packages/router/src/routed/storeSource.ts
+++ b/packages/router/src/routed/storeSource.ts
@@ -4,7 +4,7 @@
 import * as guardRecords from './guardRecords.js';
 import * as hostFeed from './hostFeed.js';
 import * as peerFeed from './peerFeed.js';
-import type * as peerRoutes from './peerRoutes.js';
+import * as peerRoutes from './peerRoutes.js';
 import * as prefixFeed from './prefixFeed.js';
 import type * as routeSource from './routeSource.js';
 import * as sharedStore from './sharedStore.js';
@@ -90,15 +90,15 @@
       canaries.rewriteRecords();
       guards.rewriteRecords();
     }
-    let reportAges: peerRoutes.AgeTeller | null = null;
+    let ages: readonly peerRoutes.ToldAge[] = [];
     if (isFirstSnapshot) {
       isFirstSnapshot = false;
-      reportAges = await context.fetchPeerRoutes();
+      ages = await context.fetchPeerRoutes();
     }
     listEntries(entries, platform.wire.KEYS.operator)
       .filter(isNew)
       .forEach(handlers[platform.wire.KEYS.operator]);
-    reportAges?.();
+    peerRoutes.reportAges(runtime, ages);
     hosts.handleSnapshot(listEntries(entries, platform.wire.KEYS.upstreams), restoration);
   };
   return {
