--- a/packages/router/__tests__/sharedStoreAges.spec.ts
+++ b/packages/router/__tests__/sharedStoreAges.spec.ts
@@ -192,7 +192,7 @@
   const change: Waited = shared.outcome.makeOk({
     era: 1,
     revision: 6,
-    changes: [{ key: 'op/config', value: 'x'.repeat(300_000), revision: 6 }],
+    changes: [{ key: 'servers/large', value: 'x'.repeat(300_000), revision: 6 }],
   });
   const reader = makeReads(async () => change);
   await reader.store.readPrefix(ALL);
