--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -1,4 +1,4 @@
-// A new version of a service works eight times as long on half of its requests, which are past their deadline then.
+// The operator orders a second new version while the roll-out of the first is under way, and the first turns bad.
 import { performance } from 'node:perf_hooks';
 import * as fs from 'node:fs';
 import * as http from 'node:http';
@@ -12,17 +12,17 @@
 /* eslint-enable import-x/extensions */
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
-/** Kind of the route; `safe` for the comparison. */
-const KIND = process.env.KIND ?? 'unsafe';
-const SLOW_SHARE = 0.5;
-const SLOW_FACTOR = 8;
-const DEADLINE_MS = 600;
+/** Time from the first order to the second, in milliseconds; 0 leaves the second one out, for the comparison. */
+const NEXT_ORDER_MS = Number(process.env.NEXT_ORDER_MS ?? '1000');
+/** Time from the first order from which its version fails. */
+const BAD_AFTER_MS = 3000;
+const FAILING_SHARE = 0.25;
 const PERIOD_S = 16;
 const BAD_ANSWERS = 50;
-const REQUEST_EVERY_MS = 40;
+const REQUEST_EVERY_MS = 20;
 const LEAD_MS = 3000;
 const AFTER_MS = 15_000;
-const WORK_MS = 85.7;
+const WORK_MS = 20;
 
 const record = [];
 const note = (text) => record.push(`${(performance.now() / 1000).toFixed(3)} ${text}`);
@@ -30,19 +30,20 @@
 const closers = [];
 const badAnswersAtMs = [];
 let requests = 0;
+let badFromMs = Infinity;
 
 const CONFIG = {
   version: 7,
   routes: [
     {
-      name: 'r-issue',
+      name: 'r-check',
       host: 'site.example',
-      prefix: '/issue/',
-      kind: KIND,
-      timeout_ms: DEADLINE_MS,
-      target_latency_ms: 386,
+      prefix: '/check/',
+      kind: 'safe',
+      timeout_ms: 4000,
+      target_latency_ms: 400,
       priority: 0,
-      max_attempts: KIND === 'safe' ? 2 : 1,
+      max_attempts: 2,
       public: false,
       resumable: false,
       service: 'core',
@@ -65,26 +66,18 @@
     response.end(body);
   }, WORK_MS);
 
-/** Works long on half of the requests, by their ids; a server stops work at the deadline and answers 504. */
+/** From a moment on, half of the requests fail, by their ids. */
 const answerBadly = (served) => {
-  const { arrival, response, head } = served;
-  const isSlow = Number.parseInt(arrival.id.slice(-6), 16) % 100 < SLOW_SHARE * 100;
-  if (!isSlow) {
+  const isFailure = Number.parseInt(served.arrival.id.slice(-6), 16) % 100 < FAILING_SHARE * 100;
+  if (!isFailure || performance.now() < badFromMs) {
     answerWell(served);
     return;
   }
-  const leftMs = Number(arrival.headers['x-deadline-ms']);
-  const isInTime = WORK_MS * SLOW_FACTOR < leftMs;
-  setTimeout(
-    () => {
-      badAnswersAtMs.push(performance.now());
-      if (!response.destroyed) {
-        response.writeHead(isInTime ? 200 : 504, { ...head, 'content-length': 4 });
-        response.end('late');
-      }
-    },
-    Math.min(WORK_MS * SLOW_FACTOR, leftMs),
-  );
+  setTimeout(() => {
+    badAnswersAtMs.push(performance.now());
+    served.response.writeHead(500, { ...served.head, 'content-length': 3 });
+    served.response.end('bad');
+  }, WORK_MS);
 };
 
 const startVersion = (store, version, machines, serve) =>
@@ -103,22 +96,22 @@
     ),
   );
 
-const sendOrder = async (router, agent, index) => {
+const sendCheck = async (router, agent, index) => {
   requests += 1;
   const id = `9c41d07b${String((index * 2_654_435_761) % 16_777_216).padStart(8, '0')}`;
   const result = await servers.sendRequest({
     address: router.fields.listen.front,
-    method: 'POST',
-    path: `/issue/${index % 97}`,
+    method: 'GET',
+    path: `/check/${index % 97}`,
     headers: {
       host: 'site.example',
       'x-request-id': id,
-      'x-deadline-ms': String(DEADLINE_MS),
+      'x-deadline-ms': '4000',
       'x-credential': 'key-1',
     },
-    body: `order ${index}`,
+    body: undefined,
     agent,
-    deadlineMs: DEADLINE_MS,
+    deadlineMs: 4000,
   });
   return { ...result, id };
 };
@@ -150,7 +143,9 @@
   const startMs = performance.now();
   let orderedAtMs = Infinity;
   let fresh = [];
+  const next = [];
   let state = null;
+  let lastTold = null;
   const operate = async () => {
     await routers.wait(LEAD_MS);
     fresh = await startVersion(store, 'v2', [5, 6, 7], HAS_TROUBLE ? answerBadly : answerWell);
@@ -158,22 +153,35 @@
     await routers.wait(500);
     store.put('op/rollout/core', { service: 'core', to: 'v2', period_s: PERIOD_S });
     orderedAtMs = performance.now();
+    badFromMs = orderedAtMs + BAD_AFTER_MS;
     note('ordered the roll-out to v2');
+    let isNextDue = NEXT_ORDER_MS > 0;
     while (performance.now() < orderedAtMs + PERIOD_S * 1000 + AFTER_MS) {
       // eslint-disable-next-line no-await-in-loop -- each look follows a pause
       await routers.wait(50);
+      if (isNextDue && performance.now() >= orderedAtMs + NEXT_ORDER_MS) {
+        isNextDue = false;
+        // eslint-disable-next-line no-await-in-loop -- the servers of v3 stand before the order
+        next.push(...(await startVersion(store, 'v3', [8, 9, 20], answerWell)));
+        closers.push(...next.map(({ close }) => close));
+        store.put('op/rollout/core', { service: 'core', to: 'v3', period_s: PERIOD_S });
+        note('ordered the roll-out to v3');
+      }
       const status = JSON.parse(store.get('status/rollout/core') ?? '{}');
-      if (status.state !== state) {
+      const told = JSON.stringify(status);
+      if (told !== lastTold) {
+        lastTold = told;
         state = status.state;
-        note(`status/rollout/core: ${JSON.stringify(status)}`);
+        note(`status/rollout/core: ${told}`);
+        const others = [...old, ...fresh, ...next].filter(({ version }) => version !== status.to);
         if (state === 'completed') {
           // At `completed`, the old servers stop at once.
-          old.forEach((server) => {
+          others.forEach((server) => {
             store.remove(`servers/${server.id}`);
             server.close();
           });
         } else if (state === 'rolled_back') {
-          fresh.forEach((server) => server.register('draining'));
+          (status.to === 'v2' ? fresh : next).forEach((server) => server.register('draining'));
         }
       }
     }
@@ -184,7 +192,7 @@
     for (let index = 0; performance.now() < orderedAtMs + PERIOD_S * 1000 + AFTER_MS; index += 1) {
       const turn = index % started.length;
       sending.push(
-        sendOrder(started[turn], agents[turn], index).then((result) => results.push(result)),
+        sendCheck(started[turn], agents[turn], index).then((result) => results.push(result)),
       );
       const dueMs = startMs + (index + 1) * REQUEST_EVERY_MS;
       // eslint-disable-next-line no-await-in-loop -- one request after the other
--- a/review/common-2/servers.mjs
+++ b/review/common-2/servers.mjs
@@ -23,7 +23,7 @@
  */
 export const startServer = async (options) => {
   const { store, id, host, service, zone, slots, version = 'v1', serve } = options;
-  const server = { id, service, arrivals: [], running: 0, isLeaving: false };
+  const server = { id, service, version, arrivals: [], running: 0, isLeaving: false };
   const run = (request, response, body) => {
     const head = makeHead(id, request, slots, server.running);
     const expected = request.headers['x-expect-instance'];
