--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -198,6 +198,16 @@
   results.forEach(({ status }) => {
     statuses[status] = (statuses[status] ?? 0) + 1;
   });
+  const ranOn = new Map();
+  [...old, ...fresh].forEach((server) =>
+    server.arrivals.forEach(({ id }) => ranOn.set(id, [...(ranOn.get(id) ?? []), server.id])),
+  );
+  results.forEach(({ id, sentAtMs: atMs, endedAtMs, status }) =>
+    note(
+      `${id} sent ${(atMs / 1000).toFixed(3)} answered ${(endedAtMs / 1000).toFixed(3)} ` +
+        `with ${status}, run by ${(ranOn.get(id) ?? ['none']).join(' ')}`,
+    ),
+  );
   note(`${requests} requests; answers by status: ${JSON.stringify(statuses)}`);
   note(`in the period: ${newInPeriod} of ${allInPeriod} on v2, ${share} + ${slack} allowed`);
   note(
