--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -6,9 +6,9 @@
 import process from 'node:process';
 import { setInterval, clearInterval } from 'node:timers';
 /* eslint-disable import-x/extensions -- Node.js finds a module of the repository only with its extension */
-import * as routers from '../common-2/routers.mjs';
-import * as servers from '../common-2/servers.mjs';
-import * as stores from '../common-2/store.mjs';
+import * as routers from './routers.mjs';
+import * as servers from './servers.mjs';
+import * as stores from './store.mjs';
 /* eslint-enable import-x/extensions */
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
