--- a/packages/cli/src/commands/check.ts
+++ b/packages/cli/src/commands/check.ts
@@ -1,4 +1,5 @@
 import * as fs from 'node:fs';
+import * as platform from '@jayrock/platform';
 import * as shared from '@jayrock/shared';
 import type * as zod from 'zod';
 import * as output from '../output.js';
@@ -11,7 +12,11 @@
 }
 
 const KINDS: readonly FileKind[] = [
-  { name: 'settings', identifyingField: 'platform', schema: shared.settings.settingsSchema },
+  {
+    name: 'settings',
+    identifyingField: 'platform',
+    schema: platform.deploymentSettings.settingsSchema,
+  },
   {
     name: 'table of routes',
     identifyingField: 'routes',
--- a/packages/cli/src/target.ts
+++ b/packages/cli/src/target.ts
@@ -1,4 +1,5 @@
 import * as stores from '@jayrock/stores';
+import * as platform from '@jayrock/platform';
 import * as shared from '@jayrock/shared';
 import * as undici from 'undici';
 
@@ -16,7 +17,7 @@
 const ROUTER_TIMEOUT_MS = 2_000;
 
 const loadSettings = (file: string): TargetOutcome<shared.settings.Settings> => {
-  const loaded = shared.jsonc.loadJsonc(file, shared.settings.settingsSchema);
+  const loaded = shared.jsonc.loadJsonc(file, platform.deploymentSettings.settingsSchema);
   return loaded.ok
     ? loaded
     : shared.outcome.makeFailed(loaded.error.map(shared.jsonc.formatProblem).join('\n'));
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -3,6 +3,7 @@
 import * as fs from 'node:fs';
 import * as path from 'node:path';
 import * as cac from 'cac';
+import * as platform from '@jayrock/platform';
 import * as shared from '@jayrock/shared';
 import * as embeddedLists from './embeddedLists.js';
 import * as startRoutedRouter from './routed/startRoutedRouter.js';
@@ -45,7 +46,7 @@
 
 /** Applies changed settings if they are valid; otherwise prints the problems and keeps the current ones. */
 const replaceSettings = (running: RunningRouter | null, file: string): void => {
-  const changed = shared.jsonc.loadJsonc(file, shared.settings.settingsSchema);
+  const changed = shared.jsonc.loadJsonc(file, platform.deploymentSettings.settingsSchema);
   if (changed.ok) {
     running?.reload(changed.value);
   } else {
@@ -113,7 +114,7 @@
 };
 
 const run = async (file: string, isCheckOnly: boolean): Promise<void> => {
-  const settings = shared.jsonc.loadJsonc(file, shared.settings.settingsSchema);
+  const settings = shared.jsonc.loadJsonc(file, platform.deploymentSettings.settingsSchema);
   if (!settings.ok) {
     failWith(settings.error);
     return;
--- a/packages/router/src/routed/startRoutedRouter.ts
+++ b/packages/router/src/routed/startRoutedRouter.ts
@@ -32,6 +32,7 @@
 import * as routedMetrics from './routedMetrics.js';
 import * as routedRunners from './routedRunners.js';
 import * as routedServer from './routedServer.js';
+import * as stopPlan from './stopPlan.js';
 import * as storeSource from './storeSource.js';
 import * as timeoutLead from './timeoutLead.js';
 
@@ -48,17 +49,6 @@
  * milliseconds: the load balancer takes out a router that fails two readiness checks, one a second.
  */
 const OVERLOADED_MS = 2_500;
-/** Time after the stop signal in which requests are started, in milliseconds: two failed readiness checks. */
-const START_MS = 2_500;
-/** Time after the stop signal after which the listener is closed, in milliseconds. */
-const BALANCER_REMOVAL_MS = 3_000;
-/** Share of the grace period after which all requests in flight are refused. */
-const ANSWER_SHARE = 0.95;
-/** Share of the grace period by which this is set ahead at most where turns of the event loop are long. */
-const MAX_LEAD_SHARE = 0.12;
-/** Share of the grace period after which answers that are not yet written are cut off. */
-const WRITE_SHARE = 0.975;
-
 /** A running router that serves a route table. */
 export interface RunningRoutedRouter {
   /** Stops immediately, for tests and for a process that exits anyway. */
@@ -292,7 +282,7 @@
     connections: parts.connections,
     endAbandoned: (pending) => routedRunners.endAbandoned(parts, pending),
     getMaxTableAgeMs: () => getBounds().revocationMs * CONFIRMATION_AGE_SHARE,
-    mayStart: () => (getStopAgeMs() ?? 0) <= START_MS,
+    mayStart: () => (getStopAgeMs() ?? 0) <= stopPlan.makeStopPlan(getBounds().graceMs).startMs,
     refuseLate: (pending) => routedRunners.refuseLate(parts, pending),
     buffers: parts.pools.buffers,
     crowd: parts.crowd,
@@ -333,6 +323,14 @@
   return { callers, relays, all: [callers, readiness, peers, metrics] };
 };
 
+/** Warns of a bound that the deployment sets and this router may not be able to keep. */
+const logShortGrace = (log: pino.Logger, { graceMs }: RoutedPlatform['bounds']): void => {
+  if (stopPlan.isTooShort(graceMs)) {
+    const plan = stopPlan.makeStopPlan(graceMs);
+    log.warn({ graceMs, ...plan }, 'grace period is too short for the load balancer');
+  }
+};
+
 /** Logs a request that the end of the grace period cuts off. */
 const logCutRequest = (
   log: pino.Logger,
@@ -362,21 +360,19 @@
   graceMs: number,
 ): Promise<void> => {
   const isAfter = (endMs: number): boolean => performance.now() - stoppedAtMs > endMs;
+  const plan = stopPlan.makeStopPlan(graceMs);
   const isAnswerOver = (): boolean =>
-    isAfter(
-      graceMs * ANSWER_SHARE -
-        timeoutLead.computeLeadMs(loop.getRecentTurnMs(), graceMs * MAX_LEAD_SHARE),
-    );
-  log.info({ running: pending.size }, 'router stopping');
+    isAfter(plan.answerMs - timeoutLead.computeLeadMs(loop.getRecentTurnMs(), plan.maxLeadMs));
+  log.info({ running: pending.size, ...plan }, 'router stopping');
   connections.release();
   source.leave().catch((error: unknown) => log.warn({ error }, 'router registration not removed'));
-  await shared.delay.wait(BALANCER_REMOVAL_MS - (performance.now() - stoppedAtMs));
+  await shared.delay.wait(plan.removalMs - (performance.now() - stoppedAtMs));
   connections.drain(callers.server);
   await Promise.all([connections.waitAnswered(isAnswerOver), relays.drain(isAnswerOver)]);
   pending.forEach((request) => logCutRequest(log, request, stoppedAtMs));
   log.info({ cut: pending.size }, 'router stopped');
   runtime.dispatch({ type: 'stopExpired' });
-  await connections.waitAnswered(() => isAfter(graceMs * WRITE_SHARE));
+  await connections.waitAnswered(() => isAfter(plan.writeMs));
 };
 
 /** A router that is starting. */
@@ -400,6 +396,7 @@
   let { bounds } = platform;
   const parts = makeParts(settings, platform, baseDir, () => bounds);
   const { runtime, log, source } = parts;
+  logShortGrace(log, bounds);
   let stoppedAtMs: number | null = null;
   let isClosed = false;
   let stopFeeds = (): void => undefined;
@@ -475,9 +472,12 @@
     reload: (changed) => {
       if (changed.platform.kind === platform.kind) {
         const next = makeRoutedSettings(changed.platform);
+        if (changed.platform.bounds.graceMs !== bounds.graceMs) {
+          logShortGrace(log, changed.platform.bounds);
+        }
         ({ bounds } = changed.platform);
         runtime.dispatch({ type: 'routedSettingsChanged', settings: next });
-        log.info({ settings: next }, 'settings reloaded');
+        log.info({ settings: next, bounds }, 'settings reloaded');
       }
     },
   };
--- a/packages/shared/src/settings.ts
+++ b/packages/shared/src/settings.ts
@@ -20,18 +20,25 @@
   })
   .readonly();
 
+/** Least value of a bound on time, in milliseconds; no router can react faster. */
+const MIN_BOUND_MS = 100;
+
+const boundMs = zod.number().min(MIN_BOUND_MS, {
+  message: `expected at least ${MIN_BOUND_MS} ms`,
+});
+
 const bounds = zod
   .strictObject({
     /** Time within which every router must reject a withdrawn key, in milliseconds. */
-    revocationMs: zod.number().positive().default(5_000),
+    revocationMs: boundMs.default(5_000),
     /** Time within which a new configuration must be in force, in milliseconds. */
-    configurationMs: zod.number().positive().default(2_000),
+    configurationMs: boundMs.default(2_000),
     /** Time after which an upstream that leaves gets no more requests, in milliseconds; by default `configurationMs`. */
-    drainMs: zod.number().positive().exactOptional(),
+    drainMs: boundMs.exactOptional(),
     /** Time after which upstreams of an evacuated zone get no more requests, in milliseconds; by default `configurationMs`. */
-    evacuationMs: zod.number().positive().exactOptional(),
+    evacuationMs: boundMs.exactOptional(),
     /** Time between the stop signal and the end of the process, in milliseconds. */
-    graceMs: zod.number().positive().default(8_000),
+    graceMs: boundMs.default(8_000),
     /** Maximum share of a roll-out period's requests that a bad version may receive. */
     exposureShare: zod.number().positive().max(1).default(0.15),
     /** Requests that a bad version may receive in addition to the share. */
@@ -41,7 +48,7 @@
     /** Repeated sends allowed in each window in addition to the share. */
     repeatSlack: zod.number().min(0).default(20),
     /** Window over which repeated sends are counted, in milliseconds. */
-    repeatWindowMs: zod.number().positive().default(10_000),
+    repeatWindowMs: boundMs.default(10_000),
   })
   .readonly();
 
@@ -154,6 +161,10 @@
 export type Settings = zod.infer<typeof settingsSchema>;
 /** Platform section of the settings. */
 export type PlatformSettings = zod.infer<typeof platform>;
+/** Bounds on the behaviour of a router of routed requests. */
+export type Bounds = zod.infer<typeof bounds>;
+/** Name of a bound in the settings. */
+export type BoundName = keyof Bounds;
 /** An upstream of routed requests, as configured in the settings. */
 export type RoutedUpstream = zod.infer<typeof routedUpstream>;
 /** Limits section of the settings. */
