--- a/packages/core/src/routed/canaryEvidence.ts
+++ b/packages/core/src/routed/canaryEvidence.ts
@@ -1,5 +1,9 @@
+import * as excessTest from './excessTest.js';
+
 /** What the times of a row measure: the time to an answer, or the time between two events of a stream. */
-export type EvidenceMeasure = 'answer' | 'event';
+export type TimedMeasure = 'answer' | 'event';
+/** What a row counts: answers with their times, or callers and how many of them had a request rejected. */
+export type EvidenceMeasure = TimedMeasure | 'rejection';
 
 /** Counts of answers to one kind of request in one epoch, by a service's canary version or by its previous ones. */
 export interface EvidenceRow {
@@ -44,6 +48,8 @@
   readonly wholeKindRatio: number;
   /** Number of failures below which a version does not count as failing. */
   readonly minFailures: number;
+  /** Log of the evidence, from 0, from which a version counts as rejecting more than its predecessors. */
+  readonly excess: number;
   /** Ratio of the mean times of a kind above which a version counts as slow. */
   readonly kindRatio: number;
   /** Standard errors by which the means of the log times of a kind must also differ. */
@@ -61,6 +67,7 @@
   wholeRatio: Math.log(100_000),
   wholeKindRatio: Math.log(100_000),
   minFailures: 3,
+  excess: Math.log(1_000),
   kindRatio: 3,
   kindErrors: 5,
   pooledErrors: 4.5,
@@ -71,6 +78,7 @@
   wholeRatio: Math.log(50),
   wholeKindRatio: Math.log(1_000),
   minFailures: 3,
+  excess: Math.log(50),
   kindRatio: 1.8,
   kindErrors: 3.5,
   pooledErrors: 3,
@@ -95,6 +103,11 @@
   timed: 0,
 };
 
+/** Makes a row without answers. */
+export const makeRow = (
+  row: Pick<EvidenceRow, 'epoch' | 'kind' | 'measure' | 'isNew'>,
+): EvidenceRow => ({ ...row, ...EMPTY_TOTALS });
+
 /** Sums evidence rows. */
 export const sumRows = (rows: readonly EvidenceRow[]): EvidenceTotals =>
   rows.reduce<EvidenceTotals>(
@@ -245,16 +258,52 @@
 export const listAnswerRows = (rows: readonly EvidenceRow[]): readonly EvidenceRow[] =>
   rows.filter((row) => row.measure === 'answer');
 
+/** Divides rows into strata of one epoch and one kind. */
+const listStrata = (rows: readonly EvidenceRow[]): readonly excessTest.Stratum[] => {
+  const strata = new Map<string, excessTest.Stratum>();
+  rows.forEach(({ epoch, kind, isNew, answers, failures }) => {
+    const key = `${epoch}|${kind}`;
+    const { newCount = 0, newEvents = 0, oldCount = 0, oldEvents = 0 } = strata.get(key) ?? {};
+    strata.set(key, {
+      newCount: newCount + (isNew ? answers : 0),
+      newEvents: newEvents + (isNew ? failures : 0),
+      oldCount: oldCount + (isNew ? 0 : answers),
+      oldEvents: oldEvents + (isNew ? 0 : failures),
+    });
+  });
+  return Array.from(strata.values());
+};
+
+/** Returns whether the candidate rejects the requests of more callers than the baseline, overall or of one kind. */
+const isRejecting = (rows: readonly EvidenceRow[], { excess }: Certainty): boolean => {
+  const rejections = rows.filter((row) => row.measure === 'rejection');
+  const kinds = new Set(
+    rejections.filter((row) => row.isNew && row.failures > 0).map((row) => row.kind),
+  );
+  return (
+    kinds.size > 0 &&
+    (excessTest.computeExcess(listStrata(rejections)) >= excess ||
+      Array.from(kinds).some(
+        (kind) =>
+          excessTest.computeExcess(listStrata(rejections.filter((row) => row.kind === kind))) >=
+          excess + Math.log(kinds.size),
+      ))
+  );
+};
+
 /** Number of most recent epochs whose slowness is also evaluated alone, to detect a version that becomes slow late. */
 const SLOW_EPOCHS = 5;
 
-/** Tests whether the canary's version fails too often or is slow, overall or for one kind of request. */
+/** Tests whether the canary's version fails or rejects too often or is slow, overall or for one kind of request. */
 const evaluateVersion = (rows: readonly EvidenceRow[], certainty: Certainty): boolean => {
   const candidate = rows.filter((row) => row.isNew);
   const baseline = rows.filter((row) => !row.isNew);
   const answers = listAnswerRows(candidate);
   const previousAnswers = sumRows(listAnswerRows(baseline));
-  if (isFailing(answers, previousAnswers, certainty, certainty.wholeRatio)) {
+  if (
+    isFailing(answers, previousAnswers, certainty, certainty.wholeRatio) ||
+    isRejecting(rows, certainty)
+  ) {
     return true;
   }
   const lastEpoch = Math.max(...candidate.map((row) => row.epoch));
--- a/packages/core/src/routed/canaryState.ts
+++ b/packages/core/src/routed/canaryState.ts
@@ -54,6 +54,8 @@
   readonly withdrawn: readonly string[];
   /** Evidence by source, epoch, kind and version. */
   readonly rows: immutable.Map<string, SourcedRow>;
+  /** Callers of this router that were counted, by version and kind, with the epoch, or Infinity once one was rejected. */
+  readonly callers: immutable.Map<string, number>;
   /** Answers of all routers, or null while this router does not know them. */
   readonly pooled: PooledCounts | null;
   /** Requests in flight on the previous versions, by source, with the time of the report. */
@@ -176,6 +178,7 @@
   isBad: false,
   withdrawn: [],
   rows: immutable.Map(),
+  callers: immutable.Map(),
   pooled: null,
   previousInFlight: immutable.Map(),
   evaluatedAtMs: -Infinity,
@@ -314,32 +317,82 @@
 const makeRowKey = (source: string, row: canaryEvidence.EvidenceRow): string =>
   `${source}|${row.epoch}|${row.kind}|${row.measure}|${row.isNew}`;
 
+const computeEpoch = (canary: Canary, nowMs: number): number =>
+  Math.max(0, Math.floor((nowMs - canary.startedAtMs) / canaryEvidence.EPOCH_MS));
+
+/** Changes a row of a router's own evidence in the current epoch. */
+const updateRow = (
+  canary: Canary,
+  source: string,
+  kind: Pick<canaryEvidence.EvidenceRow, 'kind' | 'measure' | 'isNew'>,
+  nowMs: number,
+  change: (row: canaryEvidence.EvidenceRow) => canaryEvidence.EvidenceRow,
+): Canary => {
+  const empty = canaryEvidence.makeRow({ epoch: computeEpoch(canary, nowMs), ...kind });
+  const key = makeRowKey(source, empty);
+  const row = change(canary.rows.get(key)?.row ?? empty);
+  return { ...canary, rows: canary.rows.set(key, { source, row }) };
+};
+
 /** Records an answer to a request of this router, or the time between its events; `elapsedMs` is null for a failure. */
 export const recordAnswer = (
   canary: Canary,
   source: string,
   answer: {
     readonly kind: string;
-    readonly measure?: canaryEvidence.EvidenceMeasure;
+    readonly measure?: canaryEvidence.TimedMeasure;
     readonly isNew: boolean;
     readonly elapsedMs: number | null;
   },
   nowMs: number,
 ): Canary => {
-  const empty: canaryEvidence.EvidenceRow = {
-    epoch: Math.max(0, Math.floor((nowMs - canary.startedAtMs) / canaryEvidence.EPOCH_MS)),
-    kind: answer.kind,
-    measure: answer.measure ?? 'answer',
-    isNew: answer.isNew,
-    answers: 0,
-    failures: 0,
-    logSum: 0,
-    logSquareSum: 0,
-    timed: 0,
-  };
-  const key = makeRowKey(source, empty);
-  const row = canaryEvidence.addAnswer(canary.rows.get(key)?.row ?? empty, answer.elapsedMs);
-  return { ...canary, rows: canary.rows.set(key, { source, row }) };
+  const { kind, measure = 'answer', isNew, elapsedMs } = answer;
+  return updateRow(canary, source, { kind, measure, isNew }, nowMs, (row) =>
+    canaryEvidence.addAnswer(row, elapsedMs),
+  );
+};
+
+/** Most callers that a router tells apart; further ones are not counted. */
+const MAX_CALLERS = 20_000;
+
+/**
+ * Records that a caller of this router got an answer. Requests of one caller stay on one version, so they are counted
+ * once an epoch, and no more once one was rejected; `caller` is null for a request that has none.
+ */
+export const recordCaller = (
+  canary: Canary,
+  source: string,
+  answer: {
+    readonly kind: string;
+    readonly isNew: boolean;
+    readonly caller: string | null;
+    readonly isRejected: boolean;
+  },
+  nowMs: number,
+): Canary => {
+  const { kind, isNew, caller, isRejected } = answer;
+  const key = `${isNew}|${kind}|${caller}`;
+  const epoch = computeEpoch(canary, nowMs);
+  const counted = caller === null ? undefined : canary.callers.get(key);
+  const isCounted = counted === Infinity || (counted === epoch && !isRejected);
+  const isUnknown = caller !== null && counted === undefined;
+  if (isCounted || (isUnknown && canary.callers.size >= MAX_CALLERS)) {
+    return canary;
+  }
+  const updated = updateRow(
+    canary,
+    source,
+    { kind, measure: 'rejection', isNew },
+    nowMs,
+    (row) => ({
+      ...row,
+      answers: row.answers + Number(counted !== epoch),
+      failures: row.failures + Number(isRejected),
+    }),
+  );
+  return caller === null
+    ? updated
+    : { ...updated, callers: updated.callers.set(key, isRejected ? Infinity : epoch) };
 };
 
 /**
@@ -355,7 +408,7 @@
     ? nowMs
     : Math.min(nowMs, canary.startedAtMs + told.ageMs);
 
-/** Merges a peer's report; a row with more answers replaces an earlier one, so merging is idempotent. */
+/** Merges a peer's report; a row with more answers or failures replaces an earlier one, so merging is idempotent. */
 export const mergeReport = (
   canary: Canary,
   report: Pick<CanaryReport, 'source' | 'rows' | 'oldRunning' | 'pooled' | 'ageMs' | 'isWitnessed'>,
@@ -369,7 +422,9 @@
     rows: rows.reduce((merged, row) => {
       const key = makeRowKey(source, row);
       const existing = merged.get(key);
-      return existing !== undefined && existing.row.answers >= row.answers
+      return existing !== undefined &&
+        existing.row.answers >= row.answers &&
+        existing.row.failures >= row.failures
         ? merged
         : merged.set(key, { source, row });
     }, canary.rows),
--- a/packages/core/src/routed/routedAnswers.ts
+++ b/packages/core/src/routed/routedAnswers.ts
@@ -12,14 +12,13 @@
 import * as slots from '../slots.js';
 import * as transition from '../transition.js';
 import * as upstreamState from '../upstreamState.js';
-import type * as canaryEvidence from './canaryEvidence.js';
-import * as canaryState from './canaryState.js';
 import * as modelChoice from './modelChoice.js';
 import * as prefixCache from './prefixCache.js';
 import * as routedCrashes from './routedCrashes.js';
 import * as routedContext from './routedContext.js';
 import * as routedRetry from './routedRetry.js';
 import * as routedState from './routedState.js';
+import * as versionEvidence from './versionEvidence.js';
 
 /** Finds the attempt that an event refers to; null if it has already ended or its request is not routed. */
 const findAttempt = (
@@ -31,28 +30,6 @@
   return target === null || routed === null ? null : { ...target, routed };
 };
 
-/** Records an answer, or a failure if `elapsedMs` is null, as evidence for the canary of its service. */
-const recordEvidence = (
-  current: routerState.RouterState,
-  { request, routed, attempt }: routedRetry.RoutedRequestAttempt,
-  elapsedMs: number | null,
-  nowMs: number,
-  measure: canaryEvidence.EvidenceMeasure = 'answer',
-): routerState.RouterState => {
-  const canary = current.routed.canaries.get(request.service);
-  const version = current.upstreams.get(attempt.upstreamId)?.host.version;
-  if (canary === undefined || canary.stage !== 'running' || version === undefined) {
-    return current;
-  }
-  const kind = `${routed.route.name}|${routed.model ?? ''}`;
-  const answer = { kind, measure, isNew: version === canary.order.to, elapsedMs };
-  const canaries = current.routed.canaries.set(
-    request.service,
-    canaryState.recordAnswer(canary, current.self.routerId, answer, nowMs),
-  );
-  return { ...current, routed: { ...current.routed, canaries } };
-};
-
 /** Updates averages, prefix cache and health from the time to an answer's head. */
 const recordHead = (
   current: routerState.RouterState,
@@ -190,7 +167,7 @@
   },
 });
 
-/** Returns whether a status is a failure; only a success can continue an answer that has begun. */
+/** Returns whether a request with this status is sent again if that is allowed; only a success can continue an answer that has begun. */
 const isFailure = (request: requestState.RequestState, status: number): boolean =>
   status >=
   (request.forwardedAttempt === null
@@ -209,16 +186,14 @@
   if (target === null) {
     return transition.makeTransition(current);
   }
-  const { request, routed, attempt } = target;
-  const elapsedMs = event.nowMs - attempt.startedAtMs;
+  const { request, routed } = target;
+  const withEvidence = versionEvidence.recordHead(current, target, event.head.status, event.nowMs);
   if (isFailure(request, event.head.status)) {
-    const withEvidence = recordEvidence(current, target, null, event.nowMs);
     return transition.composeTransition(
       transition.makeTransition(withEvidence, describeFailure(target, event)),
       (next) => routedRetry.retryFailedAnswer(next, target, event),
     );
   }
-  const withEvidence = recordEvidence(current, target, elapsedMs, event.nowMs);
   const withHead = recordBegin(recordHead(withEvidence, target, event.nowMs), target, event.nowMs);
   const { routeIndex: index } = withHead.routed;
   const isFirstAnswer = request.forwardedAttempt === null && routed.call.lastEventId === null;
@@ -298,7 +273,13 @@
   const withEvidence =
     event.events < 2
       ? current
-      : recordEvidence(current, target, event.streamMs / (event.events - 1), event.nowMs, 'event');
+      : versionEvidence.recordEvidence(
+          current,
+          target,
+          event.streamMs / (event.events - 1),
+          event.nowMs,
+          'event',
+        );
   const withEventTimes = recordEventTimes(withEvidence, target, event);
   const freed = routerState.updateUpstream(
     slots.releaseAttempt(withEventTimes, request.id, attempt, event.nowMs),
@@ -353,7 +334,7 @@
     return transition.makeTransition(current);
   }
   const withEvidence = EVIDENCE_FAILURES.has(event.failure)
-    ? recordEvidence(current, target, null, event.nowMs)
+    ? versionEvidence.recordEvidence(current, target, null, event.nowMs)
     : current;
   const withBreak =
     event.failure === 'broken' && !event.isNotRun
@@ -376,7 +357,7 @@
   }
   const { requestId, attemptId } = event;
   const isReachable = current.upstreams.get(target.attempt.upstreamId)?.isReachable === true;
-  const withEvidence = recordEvidence(current, target, null, event.nowMs);
+  const withEvidence = versionEvidence.recordEvidence(current, target, null, event.nowMs);
   if (isReachable && !routedRetry.canMoveElsewhere(withEvidence, target, event)) {
     return transition.makeTransition(routedRetry.recordSilence(withEvidence, target, event.nowMs));
   }
--- a/packages/core/src/routed/versionShare.ts
+++ b/packages/core/src/routed/versionShare.ts
@@ -8,7 +8,7 @@
 import type * as routedState from './routedState.js';
 
 /** Returns the key whose hash selects the version during a roll-out: session, shared prompt part or request id. */
-const getSessionKey = (
+export const getSessionKey = (
   request: requestState.RequestState,
   routed: routedState.RoutedState,
 ): string => routed.call.session ?? prefixCache.getSharedPartId(routed.call) ?? request.id;
