--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -9,6 +9,7 @@
 import type * as routedContext from './routed/routedContext.js';
 import type * as routedState from './routed/routedState.js';
 import type * as canaryState from './routed/canaryState.js';
+import type * as versionRoles from './routed/versionRoles.js';
 import type * as requestState from './requestState.js';
 import type * as versionId from './versionId.js';
 
@@ -243,7 +244,13 @@
     readonly mayBeRewritten?: boolean;
     /** Versions that earlier roll-outs of the service have rolled back, as far as its record tells. */
     readonly withdrawn?: readonly string[];
+    /** What its record tells of the other versions of the service. */
+    readonly serving?: readonly string[];
+    readonly superseded?: readonly versionRoles.SupersededVersion[];
+    readonly offset?: number | null;
   };
+  /** The operator has removed the order for a service. */
+  readonly canaryOrderRemoved: { readonly service: string };
   /** A peer told the age of an order; `source` is its address. */
   readonly canaryAgeReceived: canaryState.CanaryAge & { readonly source: string };
   readonly canaryReportReceived: canaryState.CanaryReport;
--- a/packages/core/src/routed/canaryHandlers.ts
+++ b/packages/core/src/routed/canaryHandlers.ts
@@ -5,6 +5,7 @@
 import * as canaryEvidence from './canaryEvidence.js';
 import * as canaryState from './canaryState.js';
 import * as evidenceRoles from './evidenceRoles.js';
+import * as versionRoles from './versionRoles.js';
 
 const withCanary = (
   current: routerState.RouterState,
@@ -34,6 +35,45 @@
   canary: canaryState.Canary,
 ): number => countInFlight(current, canary.order, false);
 
+/** Returns whether an order that comes now is for the only version without a bound that has upstreams. */
+const isForServing = (
+  current: routerState.RouterState,
+  canary: canaryState.Canary,
+  isFirst: boolean,
+): boolean => {
+  const { service, to } = canary.order;
+  const versions = new Set(
+    current.upstreams
+      .valueSeq()
+      .filter(({ host }) => host.service === service)
+      .map(({ host }) => host.version),
+  );
+  const others = Array.from(versions).filter(
+    (version) => version !== to && versionRoles.getRole(canary, version) === 'serving',
+  );
+  return (isFirst || canary.superseded.length > 0) && versions.has(to) && others.length === 0;
+};
+
+/** Makes the canary of an order that this router does not know yet. */
+const makeNextCanary = (
+  current: routerState.RouterState,
+  { order, stage, elapsedMs, nowMs }: events.EventOf<'canaryObserved'>,
+): canaryState.Canary => {
+  const previous = current.routed.canaries.get(order.service);
+  const next = canaryState.makeCanary(
+    order,
+    stage,
+    nowMs - elapsedMs,
+    current.routed.settings.exposure,
+    elapsedMs === 0 ? null : nowMs,
+  );
+  const followed = versionRoles.adoptOrder(previous, next);
+  // A router that learns of the order from a record may not have listed all upstreams yet.
+  return elapsedMs === 0 && isForServing(current, followed, previous === undefined)
+    ? { ...followed, isReturn: true, serving: [...followed.serving, order.to] }
+    : followed;
+};
+
 /**
  * Adopts a roll-out order and the stage that is recorded for it in the store. The record's age counts only for an order
  * that this router does not know yet: wall clocks may have been stepped, and peers tell the age by steady ones.
@@ -42,36 +82,27 @@
   current: routerState.RouterState,
   event: events.EventOf<'canaryObserved'>,
 ): transition.Transition => {
-  const { order, stage, elapsedMs, withdrawn = [] } = event;
+  const { order, stage, elapsedMs, withdrawn = [], serving = [], superseded = [] } = event;
+  const { offset = null } = event;
   const previous = current.routed.canaries.get(order.service);
   const isSame =
     previous !== undefined &&
     canaryState.isSameOrder(previous.order, order, event.mayBeRewritten === true);
-  const known =
-    previous === undefined || isSame
-      ? (previous?.withdrawn ?? [])
-      : canaryState.listWithdrawn({ ...previous, to: previous.order.to }, order);
   // An outcome is final, so a late record of the running stage has no effect.
-  const next =
+  const next: canaryState.Canary =
     isSame && previous !== undefined
       ? {
           ...previous,
           order,
           stage: previous.stage === 'running' ? stage : previous.stage,
+          sessionShare: null,
         }
-      : canaryState.makeCanary(
-          order,
-          stage,
-          event.nowMs - elapsedMs,
-          current.routed.settings.exposure,
-          elapsedMs === 0 ? null : event.nowMs,
-        );
-  const merged = {
-    ...next,
-    withdrawn: Array.from(new Set([...known, ...withdrawn])).filter(
-      (version) => version !== order.to,
-    ),
-  };
+      : makeNextCanary(current, event);
+  const merged = versionRoles.mergeVersions(
+    next,
+    { withdrawn, serving, superseded, offset },
+    event.nowMs,
+  );
   return transition.makeTransition(withCanary(current, merged), {
     type: 'log',
     message: 'roll-out observed',
@@ -82,10 +113,33 @@
       elapsedMs,
       inFlight: countInFlight(current, order, true),
       withdrawn: merged.withdrawn,
+      serving: merged.serving,
+      superseded: merged.superseded.map((earlier) => ({
+        to: earlier.order.to,
+        sessionShare: earlier.sessionShare,
+        isBad: earlier.isBad,
+      })),
     },
   });
 };
 
+/** Stops a running roll-out whose order was removed: its sessions stay, and it ends only if its version is bad. */
+const handleOrderRemoved = (
+  current: routerState.RouterState,
+  { service, nowMs }: events.EventOf<'canaryOrderRemoved'>,
+): transition.Transition => {
+  const canary = current.routed.canaries.get(service);
+  if (canary?.stage !== 'running') {
+    return transition.makeTransition(current);
+  }
+  const frozen = canaryState.holdSessions(canary, nowMs);
+  return transition.makeTransition(withCanary(current, frozen), {
+    type: 'log',
+    message: 'roll-out order removed',
+    fields: { service, to: canary.order.to, sessionShare: frozen.sessionShare },
+  });
+};
+
 /** Change of the start of a roll-out that is logged, in milliseconds; smaller ones are the time that reports take. */
 const LOGGED_CHANGE_MS = 100;
 
@@ -115,16 +169,57 @@
   order: canaryState.RolloutOrder,
 ): boolean => revision === order.revision && (to === undefined || to === order.to);
 
-/** Finds the canary of the current order to which a peer's message belongs. */
+/** Finds the canary to which a peer's message belongs: that of the current order, or of an earlier one that has not ended. */
 const findTold = (
   current: routerState.RouterState,
   told: canaryState.CanaryAge,
 ): canaryState.Canary | undefined => {
   const canary = current.routed.canaries.get(told.service);
-  return canary !== undefined && isReportOn(told, canary.order) ? canary : undefined;
+  return canary === undefined
+    ? undefined
+    : versionRoles.listCanaries(canary).find(({ order }) => isReportOn(told, order));
+};
+
+/** Stores a canary of a service, which may be that of an earlier order. */
+const replaceCanary = (
+  current: routerState.RouterState,
+  changed: canaryState.Canary,
+): routerState.RouterState => {
+  const canary = current.routed.canaries.get(changed.order.service);
+  return canary === undefined
+    ? current
+    : withCanary(current, versionRoles.replaceCanary(canary, changed));
+};
+
+/** Learns from a peer's report of an earlier order that this router has not seen, and that has not ended. */
+const adoptEarlierOrder = (
+  current: routerState.RouterState,
+  report: canaryState.CanaryReport & events.Stamp,
+): routerState.RouterState => {
+  const canary = current.routed.canaries.get(report.service);
+  const { to, revision, sessionShare, offset = 0, ageMs = 0 } = report;
+  const isKnown = canary === undefined || findTold(current, report) !== undefined;
+  return isKnown ||
+    to === undefined ||
+    sessionShare === undefined ||
+    revision >= canary.order.revision
+    ? current
+    : withCanary(
+        current,
+        versionRoles.mergeVersions(
+          canary,
+          {
+            withdrawn: [],
+            serving: [],
+            superseded: [{ to, revision, periodMs: 0, elapsedMs: ageMs, sessionShare, offset }],
+            offset: null,
+          },
+          report.nowMs,
+        ),
+      );
 };
 
-/** Merges the age of the current order that a peer told this router at its start; ignores those of other orders. */
+/** Merges the age of an order that a peer told this router at its start; ignores those of other orders. */
 const handleCanaryAge = (
   current: routerState.RouterState,
   event: events.EventOf<'canaryAgeReceived'>,
@@ -135,24 +230,25 @@
   }
   const aged = canaryState.mergeAge(canary, event, event.nowMs);
   return transition.makeTransition(
-    withCanary(current, aged),
+    replaceCanary(current, aged),
     ...logStartChange(canary, aged, event.source),
   );
 };
 
-/** Merges a peer's report on the current order, and evaluates the canary again; ignores reports on other orders. */
+/** Merges a peer's report on an order; ignores reports on orders that have ended. */
 const handleCanaryReport = (
   current: routerState.RouterState,
   event: events.EventOf<'canaryReportReceived'>,
 ): transition.Transition => {
-  const canary = findTold(current, event);
+  const adopted = adoptEarlierOrder(current, event);
+  const canary = findTold(adopted, event);
   if (canary === undefined) {
-    return transition.makeTransition(current);
+    return transition.makeTransition(adopted);
   }
   const aged = canaryState.mergeAge(canary, event, event.nowMs);
   const merged = canaryState.mergeReport(aged, event, event.nowMs);
   return transition.makeTransition(
-    withCanary(current, event.isBad ? { ...merged, isBad: true } : merged),
+    replaceCanary(adopted, event.isBad ? { ...merged, isBad: true } : merged),
     ...logStartChange(canary, aged, event.source),
   );
 };
@@ -227,6 +323,35 @@
     : evaluated;
 };
 
+/** Evaluates the evidence on the versions of earlier orders; one that is found bad gets no more requests. */
+const evaluateSuperseded = (
+  current: routerState.RouterState,
+  canary: canaryState.Canary,
+  nowMs: number,
+): transition.Transition => {
+  const evaluated = canary.superseded.map((earlier) => evaluateEvidence(current, earlier, nowMs));
+  const found = evaluated.filter(
+    ({ isBad }, index) => isBad && canary.superseded[index]?.isBad === false,
+  );
+  return transition.makeTransition(
+    withCanary(current, { ...canary, superseded: evaluated }),
+    ...found.map(({ order, rows }): effects.EffectOf<'log'> => ({
+      type: 'log',
+      message: 'version of an earlier order is bad',
+      fields: {
+        service: order.service,
+        to: order.to,
+        evidence: canaryEvidence.describeEvidence(
+          rows
+            .valueSeq()
+            .map((sourced) => sourced.row)
+            .toArray(),
+        ),
+      },
+    })),
+  );
+};
+
 /** Updates the running canaries and emits the effects that store the outcomes of those that should end. */
 export const tickCanaries = (
   current: routerState.RouterState,
@@ -234,14 +359,18 @@
 ): transition.Transition =>
   current.routed.canaries.valueSeq().reduce((done, canary) => {
     const evaluated = evaluateEvidence(current, canary, nowMs);
-    return transition.composeTransition(done, (next) =>
-      recordCanaryOutcome(withCanary(next, evaluated), evaluated, nowMs),
+    const withEarlier = transition.composeTransition(done, (next) =>
+      evaluateSuperseded(next, evaluated, nowMs),
+    );
+    return transition.composeTransition(withEarlier, (next) =>
+      recordCanaryOutcome(next, next.routed.canaries.get(canary.order.service) ?? evaluated, nowMs),
     );
   }, transition.makeTransition(current));
 
 /** Handlers of events of canary roll-outs. */
 export const HANDLERS = {
   canaryObserved: handleCanaryObserved,
+  canaryOrderRemoved: handleOrderRemoved,
   canaryAgeReceived: handleCanaryAge,
   canaryReportReceived: handleCanaryReport,
 } as const;
--- a/packages/core/src/routed/canaryReports.ts
+++ b/packages/core/src/routed/canaryReports.ts
@@ -4,6 +4,7 @@
 import * as canaryHandlers from './canaryHandlers.js';
 import * as canaryState from './canaryState.js';
 import * as evidenceRoles from './evidenceRoles.js';
+import * as versionRoles from './versionRoles.js';
 
 /** A report and the address of its receiver. */
 export interface AddressedReport {
@@ -38,6 +39,9 @@
   isBad: canary.isBad,
   rows,
   oldRunning,
+  ...(canary.sessionShare === null
+    ? {}
+    : { sessionShare: canary.sessionShare, offset: canary.offset }),
 });
 
 const makeOwnReport = (
@@ -170,11 +174,13 @@
   );
 };
 
+/** Lists the canaries of the orders that have not ended, earlier ones of a service among them. */
 const listRunning = (current: routerState.RouterState): readonly canaryState.Canary[] =>
   current.routed.canaries
     .valueSeq()
-    .filter((canary) => canary.stage === 'running')
-    .toArray();
+    .toArray()
+    .flatMap(versionRoles.listCanaries)
+    .filter((canary) => canary.stage === 'running');
 
 /** Lists the ages of the running orders, for a router that starts. */
 export const listAges = (
--- a/packages/core/src/routed/canaryState.ts
+++ b/packages/core/src/routed/canaryState.ts
@@ -52,6 +52,18 @@
   readonly isBad: boolean;
   /** Versions that earlier roll-outs of the service have rolled back; no request runs on them. */
   readonly withdrawn: readonly string[];
+  /** Versions that served without a bound when the order came, as far as they are known. */
+  readonly serving: readonly string[];
+  /** True if the order is for one of these, which needs no trial. */
+  readonly isReturn: boolean;
+  /** Earlier orders of the service that were neither completed nor rolled back, the latest first. */
+  readonly superseded: readonly Canary[];
+  /** Share of the sessions that stay on the version once the order was replaced or removed, from 0 to 1; null before. */
+  readonly sessionShare: number | null;
+  /** Start of the hashes of the version, from 0 to 1; those of earlier orders that had not ended come before. */
+  readonly offset: number;
+  /** Share of the sessions that an earlier order for the version had brought there, from 0 to 1. */
+  readonly sessionFloor: number;
   /** Evidence by source, epoch, kind and version. */
   readonly rows: immutable.Map<string, SourcedRow>;
   /** Callers of this router that were counted, by version and kind, with the epoch, or Infinity once one was rejected. */
@@ -94,6 +106,10 @@
   readonly oldRunning: number;
   /** Answers of all routers, for a router that does not get the evidence; null in other reports. */
   readonly pooled?: Omit<PooledCounts, 'atMs'> | null;
+  /** Share of the sessions that stay on the version, if another order has followed; the former build tells none. */
+  readonly sessionShare?: number;
+  /** Start of the hashes of that version, from 0 to 1. */
+  readonly offset?: number;
 }
 
 /** Number of requests in flight on the versions that a roll-out replaces, with the time of the report. */
@@ -177,6 +193,12 @@
   unwitnessedSinceMs,
   isBad: false,
   withdrawn: [],
+  serving: [],
+  isReturn: false,
+  superseded: [],
+  sessionShare: null,
+  offset: 0,
+  sessionFloor: 0,
   rows: immutable.Map(),
   callers: immutable.Map(),
   pooled: null,
@@ -256,9 +278,17 @@
  */
 const computeSessionShare = (canary: Canary, nowMs: number): number =>
   computeProgress(canary, nowMs) < SESSION_START_PART
-    ? 0
+    ? Math.min(canary.sessionFloor, canary.exposure.share * SESSION_PART)
     : Math.min(1, canary.exposure.share * SESSION_PART);
 
+/** Computes the share of the requests on a version whose order was replaced or removed: until its period ends, as before. */
+const computeSupersededShare = (canary: Canary, nowMs: number): number =>
+  computeProgress(canary, nowMs) < 1 ? canary.exposure.share * CANARY_PART : 0;
+
+/** Returns the part of the hashes that a version whose order was replaced keeps for itself, from 0 to 1. */
+export const getWidth = (canary: Canary): number =>
+  Math.max(canary.sessionShare ?? 0, canary.exposure.share * CANARY_PART);
+
 /** Returns the share of the requests, or of the sessions, that run on the version, from 0 to 1. */
 export const getTrafficShare = (canary: Canary, nowMs: number, isSession = false): number => {
   // The previous versions are stopped once the outcome is known, whatever this router found.
@@ -268,12 +298,21 @@
   if (canary.isBad || canary.stage === 'rolledBack') {
     return 0;
   }
+  if (canary.sessionShare !== null) {
+    return isSession ? canary.sessionShare : computeSupersededShare(canary, nowMs);
+  }
   const canaryShare = isSession ? computeSessionShare(canary, nowMs) : computeCanaryShare(canary);
   const remainingRamp = 1 - computeTailPart(canary) - computeProgress(canary, nowMs);
   const rampProgress = 1 - remainingRamp / (canary.exposure.share * RAMP_PART);
   return Math.min(1, Math.max(canaryShare, canaryShare + (1 - canaryShare) * rampProgress));
 };
 
+/** Keeps a version where it is at a moment: its sessions stay, and its share of the other requests no longer rises. */
+export const holdSessions = (canary: Canary, atMs: number): Canary =>
+  canary.sessionShare === null
+    ? { ...canary, sessionShare: getTrafficShare(canary, atMs, true) }
+    : canary;
+
 /** Returns whether the share has begun to rise to all requests. */
 const isRamping = (canary: Canary, nowMs: number): boolean =>
   getTrafficShare(canary, nowMs) > computeCanaryShare(canary);
@@ -314,7 +353,8 @@
   };
 };
 
-const makeRowKey = (source: string, row: canaryEvidence.EvidenceRow): string =>
+/** Names a row of a source. */
+export const makeRowKey = (source: string, row: canaryEvidence.EvidenceRow): string =>
   `${source}|${row.epoch}|${row.kind}|${row.measure}|${row.isNew}`;
 
 const computeEpoch = (canary: Canary, nowMs: number): number =>
@@ -472,7 +512,7 @@
 
 /** Marks the version as bad if the evidence of all sources shows it; a bad version stays bad. */
 export const evaluateCanary = (canary: Canary): Canary => {
-  if (canary.isBad || canary.stage !== 'running') {
+  if (canary.isBad || canary.isReturn || canary.stage !== 'running') {
     return canary;
   }
   const rows = canary.rows.valueSeq().map((sourced) => sourced.row);
@@ -528,6 +568,9 @@
   if (canary.isBad) {
     return 'rolledBack';
   }
+  if (canary.sessionShare !== null) {
+    return null;
+  }
   if (mayAgeBeCorrected(canary, nowMs)) {
     return null;
   }
@@ -546,6 +589,9 @@
     .valueSeq()
     .map((sourced) => sourced.row)
     .toArray();
+  if (canary.isReturn) {
+    return 'completed';
+  }
   if (hasNewAnswers(canary, rows)) {
     return canaryEvidence.isLikelyBad(rows) ? 'rolledBack' : 'completed';
   }
--- a/packages/core/src/routed/routedPlacement.ts
+++ b/packages/core/src/routed/routedPlacement.ts
@@ -14,6 +14,7 @@
 import * as prefixCache from './prefixCache.js';
 import * as routedContext from './routedContext.js';
 import * as routedState from './routedState.js';
+import * as versionRoles from './versionRoles.js';
 import * as versionShare from './versionShare.js';
 
 /** Query for an upstream of a routed request. */
@@ -87,11 +88,19 @@
   if (canary === undefined) {
     return () => true;
   }
+  const hasUpstream: versionShare.UpstreamFinder = (version) =>
+    routerState
+      .listCandidates(current, request.service)
+      .some(({ host }) =>
+        version === null
+          ? versionRoles.getRole(canary, host.version) === 'serving'
+          : host.version === version,
+      );
   const decided = new Map<string | undefined, boolean>();
   return (version) => {
     const isAllowed =
       decided.get(version) ??
-      versionShare.isVersionAllowed(canary, version, request, routed, nowMs);
+      versionShare.isVersionAllowed(canary, version, request, routed, nowMs, hasUpstream);
     decided.set(version, isAllowed);
     return isAllowed;
   };
--- a/packages/core/src/routed/versionEvidence.ts
+++ b/packages/core/src/routed/versionEvidence.ts
@@ -4,6 +4,7 @@
 import * as canaryState from './canaryState.js';
 import type * as routedRetry from './routedRetry.js';
 import type * as routedState from './routedState.js';
+import * as versionRoles from './versionRoles.js';
 import * as versionShare from './versionShare.js';
 
 /**
@@ -23,33 +24,38 @@
   return status >= FIRST_REJECTION_STATUS ? 'rejection' : 'success';
 };
 
-/** Returns the running canary of an attempt's service, and whether the attempt is on its version; null if there is none. */
-const findCanary = (
+/** Records evidence on the version of an attempt with each running canary of its service that it concerns. */
+const updateTested = (
   current: routerState.RouterState,
   { request, attempt }: routedRetry.RoutedRequestAttempt,
-): { readonly canary: canaryState.Canary; readonly isNew: boolean } | null => {
+  change: (canary: canaryState.Canary, isNew: boolean) => canaryState.Canary,
+): routerState.RouterState => {
   const canary = current.routed.canaries.get(request.service);
   const version = current.upstreams.get(attempt.upstreamId)?.host.version;
-  return canary === undefined || canary.stage !== 'running' || version === undefined
-    ? null
-    : { canary, isNew: version === canary.order.to };
+  if (canary === undefined || version === undefined) {
+    return current;
+  }
+  const changed = versionRoles
+    .listTested(canary, version)
+    .reduce(
+      (next, tested) => versionRoles.replaceCanary(next, change(tested.canary, tested.isNew)),
+      canary,
+    );
+  return changed === canary
+    ? current
+    : {
+        ...current,
+        routed: {
+          ...current.routed,
+          canaries: current.routed.canaries.set(request.service, changed),
+        },
+      };
 };
 
-const withCanary = (
-  current: routerState.RouterState,
-  canary: canaryState.Canary,
-): routerState.RouterState => ({
-  ...current,
-  routed: {
-    ...current.routed,
-    canaries: current.routed.canaries.set(canary.order.service, canary),
-  },
-});
-
 const makeKind = ({ route, model }: routedState.RoutedState): string =>
   `${route.name}|${model ?? ''}`;
 
-/** Records the time of an answer, or a failure if `elapsedMs` is null, as evidence for the canary of its service. */
+/** Records the time of an answer, or a failure if `elapsedMs` is null, as evidence on its version. */
 export const recordEvidence = (
   current: routerState.RouterState,
   target: routedRetry.RoutedRequestAttempt,
@@ -57,14 +63,14 @@
   nowMs: number,
   measure: canaryEvidence.TimedMeasure = 'answer',
 ): routerState.RouterState => {
-  const found = findCanary(current, target);
-  if (found === null) {
-    return current;
-  }
-  const answer = { kind: makeKind(target.routed), measure, isNew: found.isNew, elapsedMs };
-  return withCanary(
-    current,
-    canaryState.recordAnswer(found.canary, current.self.routerId, answer, nowMs),
+  const kind = makeKind(target.routed);
+  return updateTested(current, target, (canary, isNew) =>
+    canaryState.recordAnswer(
+      canary,
+      current.self.routerId,
+      { kind, measure, isNew, elapsedMs },
+      nowMs,
+    ),
   );
 };
 
@@ -78,7 +84,7 @@
 };
 
 /**
- * Records the head of an answer as evidence for the canary of its service. Whether it rejects the request is counted
+ * Records the head of an answer as evidence on its version. Whether it rejects the request is counted
  * beside its time, by callers: a caller's mistakes are no fault of the version that its hash selects.
  */
 export const recordHead = (
@@ -95,23 +101,16 @@
     answerClass === 'failure' ? null : elapsedMs,
     nowMs,
   );
-  const found = findCanary(withTime, target);
-  if (found === null) {
-    return withTime;
-  }
   const { request, routed } = target;
-  return withCanary(
-    withTime,
+  // Sessions are moved to the version later than other requests, so the two are not comparable.
+  const kind = `${makeKind(routed)}${routed.call.session === null ? '' : '|session'}`;
+  const caller = getCallerKey(request, routed);
+  const isRejected = answerClass === 'rejection';
+  return updateTested(withTime, target, (canary, isNew) =>
     canaryState.recordCaller(
-      found.canary,
+      canary,
       current.self.routerId,
-      {
-        // Sessions are moved to the version later than other requests, so the two are not comparable.
-        kind: `${makeKind(routed)}${routed.call.session === null ? '' : '|session'}`,
-        isNew: found.isNew,
-        caller: getCallerKey(request, routed),
-        isRejected: answerClass === 'rejection',
-      },
+      { kind, isNew, caller, isRejected },
       nowMs,
     ),
   );
--- a/packages/router/__tests__/canaryRecords.spec.ts
+++ b/packages/router/__tests__/canaryRecords.spec.ts
@@ -107,3 +107,79 @@
   t.false(isWitnessed(Date.now() - 2_000));
   t.false(isWitnessed(Date.now() + 60_000));
 });
+
+// The record of the next order replaced the one of a roll-out under way, whose version counted as a previous one then.
+test('the record of an order tells of the one that it follows, also to routers of the former build', async (t) => {
+  const { records, runtime, transactions } = makeRecorder();
+  records.handleOrder(ORDER_KEY, makeOrder('v2'), 40);
+  records.handleOrder(ORDER_KEY, makeOrder('v3'), 60);
+  await shared.delay.wait(10);
+  const record = getRecord(transactions.at(-1));
+  t.is(record.to, 'v3');
+  // The former build sends nothing to withdrawn versions.
+  t.deepEqual(record.withdrawn, ['v2']);
+  const { superseded } = runtime.getState().routed.canaries.get('desk') ?? {};
+  t.deepEqual(
+    superseded?.map(({ order }) => order.to),
+    ['v2'],
+  );
+  // A router that starts has seen neither order.
+  const started = makeRecorder();
+  started.records.handleRecord(RECORD_KEY, JSON.stringify(record), 70);
+  started.records.handleOrder(ORDER_KEY, makeOrder('v3'), 60);
+  const canary = started.runtime.getState().routed.canaries.get('desk');
+  t.deepEqual(
+    canary?.superseded.map(({ order }) => order.to),
+    ['v2'],
+  );
+  t.deepEqual(canary?.withdrawn, []);
+  t.is(canary?.offset, runtime.getState().routed.canaries.get('desk')?.offset);
+  t.is(canary === undefined ? null : core.versionRoles.getRole(canary, 'v2'), 'superseded');
+});
+
+test('the record of a roll-out under way, as the former build writes it, bounds its version under the next order', (t) => {
+  const { records, runtime } = makeRecorder();
+  records.handleRecord(RECORD_KEY, makeRecord('v2', 40, 'running'), 50);
+  records.handleOrder(ORDER_KEY, makeOrder('v3'), 60);
+  const canary = runtime.getState().routed.canaries.get('desk');
+  const [earlier] = canary?.superseded ?? [];
+  t.is(earlier?.order.to, 'v2');
+  [true, false].forEach((isSession) =>
+    t.is(
+      earlier === undefined
+        ? null
+        : core.canaryState.getTrafficShare(earlier, runtime.getNowMs() + 2, isSession),
+      0,
+    ),
+  );
+});
+
+test('a version that was completed serves without a bound under the next order', (t) => {
+  const { records, runtime } = makeRecorder();
+  records.handleRecord(RECORD_KEY, makeRecord('v2', 40, 'completed'), 50);
+  records.handleOrder(ORDER_KEY, makeOrder('v3'), 60);
+  const canary = runtime.getState().routed.canaries.get('desk');
+  t.deepEqual(canary?.serving, ['v2']);
+  t.deepEqual(canary?.superseded, []);
+});
+
+test('a router that has not seen the next order does not write over its record', async (t) => {
+  const { records, transactions } = makeRecorder();
+  records.handleRecord(RECORD_KEY, makeRecord('v3', 60, 'running'), 70);
+  records.handleOrder(ORDER_KEY, makeOrder('v2'), 40);
+  await shared.delay.wait(10);
+  t.is(transactions.length, 0);
+});
+
+test('the removal of an order stops the roll-out, unless the store went back to an older copy', (t) => {
+  [true, false].forEach((isRestored) => {
+    const { records, runtime } = makeRecorder();
+    records.handleOrder(ORDER_KEY, makeOrder('v2'), 40);
+    if (isRestored) {
+      records.handleRestored();
+    }
+    records.handleOrder(ORDER_KEY, null, 50);
+    const canary = runtime.getState().routed.canaries.get('desk');
+    t.is(canary?.sessionShare, isRestored ? null : 0);
+  });
+});
--- a/packages/router/src/routed/canaryRecords.ts
+++ b/packages/router/src/routed/canaryRecords.ts
@@ -15,8 +15,30 @@
   orderRevision: zod.number(),
   startedAtMs: zod.number(),
   stage: zod.enum(['running', 'completed', 'rolledBack']),
-  /** Versions that earlier roll-outs have rolled back; records of the former build have none. */
+  /**
+   * Versions that earlier roll-outs have rolled back, and those of `superseded`, which the former build does not know;
+   * records of builds before it have none.
+   */
   withdrawn: zod.array(zod.string()).exactOptional(),
+  /** Period of the order, in milliseconds; records of the former build have none of this and the following fields. */
+  periodMs: zod.number().exactOptional(),
+  /** Versions that served without a bound when the order came. */
+  serving: zod.array(zod.string()).exactOptional(),
+  /** Earlier orders that have not ended, with the share of the sessions that stay on their versions. */
+  superseded: zod
+    .array(
+      zod.object({
+        to: zod.string(),
+        orderRevision: zod.number(),
+        startedAtMs: zod.number(),
+        periodMs: zod.number(),
+        sessionShare: zod.number(),
+        offset: zod.number(),
+      }),
+    )
+    .exactOptional(),
+  /** Start of the hashes of the version, from 0 to 1. */
+  offset: zod.number().exactOptional(),
 });
 
 type CanaryRecord = zod.infer<typeof recordSchema>;
@@ -64,17 +86,59 @@
 ): record is CanaryRecord =>
   record?.to === to && (mayBeRewritten || record.orderRevision === revision);
 
-/** Lists the versions that the record of a service withdraws for an order. */
-const listWithdrawn = (
+const computeElapsedMs = ({ startedAtMs }: Pick<CanaryRecord, 'startedAtMs'>): number =>
+  Math.max(MIN_RECORDED_AGE_MS, Date.now() - startedAtMs);
+
+/** Lists the earlier orders in a record, and its own if it has not ended and another one has followed. */
+const listSuperseded = (
+  record: CanaryRecord,
+  order: core.canaryState.RolloutOrder,
+): readonly core.versionRoles.SupersededVersion[] => {
+  const earlier = (record.superseded ?? []).map((item) => ({
+    to: item.to,
+    revision: item.orderRevision,
+    periodMs: item.periodMs,
+    elapsedMs: computeElapsedMs(item),
+    sessionShare: item.sessionShare,
+    offset: item.offset,
+  }));
+  const isReplaced =
+    record.stage === 'running' && record.to !== order.to && record.orderRevision <= order.revision;
+  return isReplaced && record.serving?.includes(record.to) !== true
+    ? [
+        {
+          to: record.to,
+          revision: record.orderRevision,
+          periodMs: record.periodMs ?? 0,
+          elapsedMs: computeElapsedMs(record),
+          sessionShare: record.periodMs === undefined ? 0 : null,
+          offset: record.offset ?? 0,
+        },
+        ...earlier,
+      ]
+    : earlier;
+};
+
+/** Returns what the record of a service tells of its versions for an order. */
+const describeVersions = (
   record: CanaryRecord | undefined,
   order: core.canaryState.RolloutOrder,
-): readonly string[] =>
-  record === undefined
-    ? []
-    : core.canaryState.listWithdrawn(
-        { ...record, isBad: false, withdrawn: record.withdrawn ?? [] },
-        order,
-      );
+): core.versionRoles.KnownVersions => {
+  if (record === undefined) {
+    return { withdrawn: [], serving: [], superseded: [], offset: null };
+  }
+  const isOther = record.to !== order.to || record.orderRevision !== order.revision;
+  const isCompleted = isOther && record.stage === 'completed';
+  const superseded = isCompleted ? [] : listSuperseded(record, order);
+  return {
+    withdrawn: core.canaryState
+      .listWithdrawn({ ...record, isBad: false, withdrawn: record.withdrawn ?? [] }, order)
+      .filter((version) => !superseded.some(({ to }) => to === version)),
+    serving: isCompleted ? [record.to] : (record.serving ?? []),
+    superseded,
+    offset: isOther ? null : (record.offset ?? null),
+  };
+};
 
 /** Follows and writes roll-out records; a write succeeds only if no other router wrote the record meanwhile. */
 export const makeCanaryRecords = (
@@ -114,8 +178,8 @@
       order,
       mayBeRewritten: mayBeRewritten(),
       stage: known?.stage ?? 'running',
-      withdrawn: listWithdrawn(stored, order),
-      elapsedMs: known === null ? 0 : Math.max(MIN_RECORDED_AGE_MS, Date.now() - known.startedAtMs),
+      ...describeVersions(stored, order),
+      elapsedMs: known === null ? 0 : computeElapsedMs(known),
     });
   };
   /** Writes the record of an order as far as this router knows it, unless there is one of the same or a later stage. */
@@ -124,6 +188,11 @@
     const canary = runtime.getState().routed.canaries.get(order.service);
     const isKnown = canary !== undefined && core.canaryState.isSameOrder(canary.order, order);
     const stage = isKnown ? canary.stage : 'running';
+    // A router that has not seen a later order yet does not write over its record.
+    const isOutdated = (stored?.record.orderRevision ?? 0) > order.revision;
+    if (isOutdated && !mayBeRewritten()) {
+      return;
+    }
     if (
       isRecordOf(stored?.record, order) &&
       (stage === 'running' || stored.record.stage !== 'running')
@@ -131,14 +200,31 @@
       return;
     }
     const elapsedMs = isKnown ? runtime.getNowMs() - canary.startedAtMs : 0;
+    const told = describeVersions(stored?.record, order);
+    const superseded = (isKnown ? canary.superseded : []).map((earlier) => ({
+      to: earlier.order.to,
+      orderRevision: earlier.order.revision,
+      startedAtMs: Date.now() - (runtime.getNowMs() - earlier.startedAtMs),
+      periodMs: earlier.order.periodMs,
+      sessionShare: earlier.sessionShare ?? 0,
+      offset: earlier.offset,
+    }));
     const next: CanaryRecord = {
       to: order.to,
       orderRevision: order.revision,
       startedAtMs: Date.now() - elapsedMs,
       stage,
       withdrawn: Array.from(
-        new Set([...listWithdrawn(stored?.record, order), ...(isKnown ? canary.withdrawn : [])]),
+        new Set([
+          ...told.withdrawn,
+          ...(isKnown ? canary.withdrawn : []),
+          ...superseded.map(({ to }) => to),
+        ]),
       ),
+      periodMs: order.periodMs,
+      serving: [...(isKnown ? canary.serving : told.serving)],
+      superseded,
+      offset: isKnown ? canary.offset : 0,
     };
     writeRecord(order, next, stored?.revision ?? 0).catch((error: unknown) =>
       log.error({ error }, 'roll-out record not created'),
@@ -188,6 +274,10 @@
       const decoded = value === null ? null : platform.rolloutEntries.decodeOrder(value);
       if (decoded === null) {
         orders.delete(service);
+        // A store that has gone back to an older copy lacks orders that no one has removed.
+        if (!mayBeRewritten()) {
+          runtime.dispatch({ type: 'canaryOrderRemoved', service });
+        }
         return;
       }
       if (!decoded.ok) {
