--- a/packages/core/__tests__/rolloutRequests.ts
+++ b/packages/core/__tests__/rolloutRequests.ts
@@ -35,8 +35,8 @@
     atMs: number,
     draw: () => number,
   ) => Pick<core.routedState.RoutedCall, 'path' | 'session'>;
-  /** HTTP status of the answer. */
-  readonly getStatus: (request: SimulatedRequest, draw: () => number) => number;
+  /** HTTP status of the answer; null if there is none before the deadline. */
+  readonly getStatus: (request: SimulatedRequest, draw: () => number) => number | null;
 }
 
 /** Outcome of a simulated roll-out. */
@@ -81,6 +81,25 @@
   driver.send({ type: 'routedAttemptEnded', requestId, attemptId, events: 0, streamMs: 0 }, nowMs);
 };
 
+/** Time from an arrival to the end of a request that is not answered, in milliseconds. */
+const DEADLINE_MS = 600;
+
+/** Ends a request at its deadline, or by its caller, who leaves then. */
+const expireRequest = (
+  driver: fixtures.Driver,
+  requestId: string,
+  isCallerGone: boolean,
+  nowMs: number,
+): void => {
+  const deadlineAtMs = driver.getState().requests.get(requestId)?.deadlineAtMs ?? nowMs;
+  driver.send(
+    isCallerGone
+      ? { type: 'callerGone', requestId }
+      : { type: 'timerFired', timer: { kind: 'routedTimeout', requestId, deadlineAtMs } },
+    nowMs,
+  );
+};
+
 /** Makes a source of uniform numbers in [0, 1). */
 export const makeDraw = (seed: number): (() => number) => {
   const random = prand.xoroshiro128plus(seed);
@@ -100,6 +119,7 @@
   const draw = makeDraw(load.seed);
   const order = { service: 'desk', to: 'v2', periodMs: load.periodMs, revision: 3 };
   driver.send({ type: 'canaryObserved', order, stage: 'running', elapsedMs: 0 }, STARTED_AT_MS);
+  const unanswered: { requestId: string; endsAtMs: number }[] = [];
   let exposed = 0;
   let index = 0;
   for (let atMs = 0; atMs < load.periodMs; atMs += TICK_MS) {
@@ -111,7 +131,15 @@
       const version = getVersion(driver, requestId);
       exposed += Number(version === 'v2');
       const status = load.getStatus({ index, atMs: sentAtMs, version, path, session }, draw);
-      answerRequest(driver, requestId, status, STARTED_AT_MS + sentAtMs + ANSWER_MS);
+      if (status === null) {
+        unanswered.push({ requestId, endsAtMs: sentAtMs + DEADLINE_MS });
+      } else {
+        answerRequest(driver, requestId, status, STARTED_AT_MS + sentAtMs + ANSWER_MS);
+      }
+    }
+    while ((unanswered[0]?.endsAtMs ?? Infinity) <= atMs) {
+      const { requestId = '' } = unanswered.shift() ?? {};
+      expireRequest(driver, requestId, unanswered.length % 2 === 0, STARTED_AT_MS + atMs);
     }
     const [proposed] = listProposed(driver, STARTED_AT_MS + atMs + TICK_MS);
     if (proposed !== undefined) {
@@ -125,20 +153,24 @@
 const recordAnswer = (
   canary: core.canaryState.Canary,
   { version, path, session, index }: SimulatedRequest,
-  status: number,
+  status: number | null,
   nowMs: number,
 ): core.canaryState.Canary => {
   const isNew = version === 'v2';
-  const answerClass = core.versionEvidence.classifyStatus(status);
+  const answerClass = status === null ? null : core.versionEvidence.classifyStatus(status);
   const elapsedMs = answerClass === 'failure' ? null : ANSWER_MS + (index % 7);
+  const answered =
+    answerClass === null
+      ? canary
+      : core.canaryState.recordAnswer(canary, 'r1', { kind: path, isNew, elapsedMs }, nowMs);
   return core.canaryState.recordCaller(
-    core.canaryState.recordAnswer(canary, 'r1', { kind: path, isNew, elapsedMs }, nowMs),
+    answered,
     'r1',
     {
       kind: session === null ? path : `${path}|session`,
       isNew,
       caller: session,
-      isRejected: answerClass === 'rejection',
+      isRejected: answerClass === null || answerClass === 'rejection',
     },
     nowMs,
   );
--- a/packages/core/src/attempts.ts
+++ b/packages/core/src/attempts.ts
@@ -10,6 +10,7 @@
 import * as quarantine from './quarantine.js';
 import * as recovery from './recovery.js';
 import * as refusal from './refusal.js';
+import * as versionEvidence from './routed/versionEvidence.js';
 import type * as requestState from './requestState.js';
 import * as routerState from './routerState.js';
 import * as sessions from './sessions.js';
@@ -199,7 +200,10 @@
   if (request === undefined || request.phase === 'ending') {
     return transition.makeTransition(current);
   }
-  const dequeued = waitingRequests.removeFromQueue(current, request, event.nowMs);
+  // A caller that leaves before its answer is late says nothing about the version.
+  const lateMs = request.routed?.route.targetLatencyMs ?? Infinity;
+  const withEvidence = versionEvidence.recordUnanswered(current, request, lateMs, event.nowMs);
+  const dequeued = waitingRequests.removeFromQueue(withEvidence, request, event.nowMs);
   const cancelled = slots.cancelAttempts(dequeued, request.id, request.attempts, event);
   return transition.composeTransition(cancelled, (next) =>
     refusal.refuseRequest(next, next.requests.get(request.id) ?? request, 'callerGone', null),
--- a/packages/core/src/routed/routedExpiry.ts
+++ b/packages/core/src/routed/routedExpiry.ts
@@ -6,6 +6,7 @@
 import * as slots from '../slots.js';
 import * as transition from '../transition.js';
 import * as routedRefusal from './routedRefusal.js';
+import * as versionEvidence from './versionEvidence.js';
 
 /** Schedules the end of a request at its deadline. */
 export const scheduleTimeout = (
@@ -33,7 +34,10 @@
   if (request === undefined || deadlineAtMs < request.deadlineAtMs) {
     return transition.makeTransition(current);
   }
-  const dequeued = waitingRequests.removeFromQueue(current, request, stamp.nowMs);
+  // Which of several attempts were not sent is not known.
+  const withEvidence =
+    unsentCount > 0 ? current : versionEvidence.recordUnanswered(current, request, 0, stamp.nowMs);
+  const dequeued = waitingRequests.removeFromQueue(withEvidence, request, stamp.nowMs);
   const cancelled = slots.cancelAttempts(dequeued, request.id, request.attempts, stamp);
   return transition.composeTransition(cancelled, (next) => {
     const latest = next.requests.get(requestId) ?? request;
--- a/packages/core/src/routed/versionEvidence.ts
+++ b/packages/core/src/routed/versionEvidence.ts
@@ -83,9 +83,30 @@
   return key === request.id ? null : key;
 };
 
+/** Counts a caller of an attempt, and whether it was left without a good answer, as evidence on the version. */
+const recordCaller = (
+  current: routerState.RouterState,
+  target: routedRetry.RoutedRequestAttempt,
+  isRejected: boolean,
+  nowMs: number,
+): routerState.RouterState => {
+  const { request, routed } = target;
+  // Sessions are moved to the version later than other requests, so the two are not comparable.
+  const kind = `${makeKind(routed)}${routed.call.session === null ? '' : '|session'}`;
+  const caller = getCallerKey(request, routed);
+  return updateTested(current, target, (canary, isNew) =>
+    canaryState.recordCaller(
+      canary,
+      current.self.routerId,
+      { kind, isNew, caller, isRejected },
+      nowMs,
+    ),
+  );
+};
+
 /**
- * Records the head of an answer as evidence on its version. Whether it rejects the request is counted
- * beside its time, by callers: a caller's mistakes are no fault of the version that its hash selects.
+ * Records the head of an answer as evidence on its version. Whether it rejects the request is counted beside its time,
+ * by callers: a caller's mistakes are no fault of the version that its hash selects.
  */
 export const recordHead = (
   current: routerState.RouterState,
@@ -101,17 +122,26 @@
     answerClass === 'failure' ? null : elapsedMs,
     nowMs,
   );
-  const { request, routed } = target;
-  // Sessions are moved to the version later than other requests, so the two are not comparable.
-  const kind = `${makeKind(routed)}${routed.call.session === null ? '' : '|session'}`;
-  const caller = getCallerKey(request, routed);
-  const isRejected = answerClass === 'rejection';
-  return updateTested(withTime, target, (canary, isNew) =>
-    canaryState.recordCaller(
-      canary,
-      current.self.routerId,
-      { kind, isNew, caller, isRejected },
-      nowMs,
-    ),
-  );
+  return recordCaller(withTime, target, answerClass === 'rejection', nowMs);
+};
+
+/**
+ * Records that a request ends while upstreams owe it an answer, as evidence on their versions. Attempts that are younger
+ * than `minAgeMs` say nothing. It is counted like a rejection: under load, requests of all versions end so.
+ */
+export const recordUnanswered = (
+  current: routerState.RouterState,
+  request: requestState.RequestState,
+  minAgeMs: number,
+  nowMs: number,
+): routerState.RouterState => {
+  const { routed } = request;
+  return routed === null
+    ? current
+    : request.attempts
+        .filter(({ headAtMs, startedAtMs }) => headAtMs === null && nowMs - startedAtMs >= minAgeMs)
+        .reduce(
+          (next, attempt) => recordCaller(next, { request, routed, attempt }, true, nowMs),
+          current,
+        );
 };
