fix(core): a version that is a little worse than its predecessor is tested for (known fault 51)

Cause: the only alternative that was tested was a version that fails 25 requests in 100 more, so that each good answer outweighed a part of a failure. Change: failures are compared, given that they occurred, with those of the previous versions: within an epoch while the roll-out runs, over all of it at its end, where the test has a level of 1 in 20. Several failures of one epoch count as one. Known fault 51 stays: 3 in 100 is not found reliably.

--- a/packages/core/src/routed/canaryEvidence.ts
+++ b/packages/core/src/routed/canaryEvidence.ts
@@ -50,6 +50,10 @@
   readonly minFailures: number;
   /** Log of the evidence, from 0, from which a version counts as rejecting more than its predecessors. */
   readonly excess: number;
+  /** The same for a version that fails more, by however little. */
+  readonly failureExcess: number;
+  /** True if failures are compared within an epoch, as after a change of load; the last epochs have no baseline. */
+  readonly comparesEpochs: boolean;
   /** Ratio of the mean times of a kind above which a version counts as slow. */
   readonly kindRatio: number;
   /** Standard errors by which the means of the log times of a kind must also differ. */
@@ -68,6 +72,8 @@
   wholeKindRatio: Math.log(100_000),
   minFailures: 3,
   excess: Math.log(1_000),
+  failureExcess: Math.log(10_000),
+  comparesEpochs: true,
   kindRatio: 3,
   kindErrors: 5,
   pooledErrors: 4.5,
@@ -79,6 +85,8 @@
   wholeKindRatio: Math.log(1_000),
   minFailures: 3,
   excess: Math.log(50),
+  failureExcess: Math.log(20),
+  comparesEpochs: false,
   kindRatio: 1.8,
   kindErrors: 3.5,
   pooledErrors: 3,
@@ -258,11 +266,14 @@
 export const listAnswerRows = (rows: readonly EvidenceRow[]): readonly EvidenceRow[] =>
   rows.filter((row) => row.measure === 'answer');
 
-/** Divides rows into strata of one epoch and one kind. */
-const listStrata = (rows: readonly EvidenceRow[]): readonly excessTest.Stratum[] => {
+/** Divides rows into strata of one epoch and one kind, or of one kind. */
+const listStrata = (
+  rows: readonly EvidenceRow[],
+  hasEpochs: boolean,
+): readonly excessTest.Stratum[] => {
   const strata = new Map<string, excessTest.Stratum>();
   rows.forEach(({ epoch, kind, isNew, answers, failures }) => {
-    const key = `${epoch}|${kind}`;
+    const key = hasEpochs ? `${epoch}|${kind}` : kind;
     const { newCount = 0, newEvents = 0, oldCount = 0, oldEvents = 0 } = strata.get(key) ?? {};
     strata.set(key, {
       newCount: newCount + (isNew ? answers : 0),
@@ -274,23 +285,52 @@
   return Array.from(strata.values());
 };
 
-/** Returns whether the candidate rejects the requests of more callers than the baseline, overall or of one kind. */
-const isRejecting = (rows: readonly EvidenceRow[], { excess }: Certainty): boolean => {
-  const rejections = rows.filter((row) => row.measure === 'rejection');
-  const kinds = new Set(
-    rejections.filter((row) => row.isNew && row.failures > 0).map((row) => row.kind),
-  );
+/** Returns whether more requests of the candidate have the events of the rows, overall or of one kind. */
+const isExcessive = (
+  rows: readonly EvidenceRow[],
+  threshold: number,
+  hasEpochs: boolean,
+): boolean => {
+  const kinds = new Set(rows.filter((row) => row.isNew && row.failures > 0).map((row) => row.kind));
   return (
     kinds.size > 0 &&
-    (excessTest.computeExcess(listStrata(rejections)) >= excess ||
+    (excessTest.computeExcess(listStrata(rows, hasEpochs)) >= threshold ||
       Array.from(kinds).some(
         (kind) =>
-          excessTest.computeExcess(listStrata(rejections.filter((row) => row.kind === kind))) >=
-          excess + Math.log(kinds.size),
+          excessTest.computeExcess(
+            listStrata(
+              rows.filter((row) => row.kind === kind),
+              hasEpochs,
+            ),
+          ) >=
+          threshold + Math.log(kinds.size),
       ))
   );
 };
 
+/**
+ * Limits the failures of the candidate in an epoch to one more than the baseline leads to expect there: the end of one
+ * upstream breaks several requests at once and says no more than one failure.
+ */
+const limitFailures = (rows: readonly EvidenceRow[]): readonly EvidenceRow[] => {
+  const baselineShare = estimateFailureShare(sumRows(rows.filter((row) => !row.isNew)));
+  const left = new Map<number, number>();
+  rows
+    .filter((row) => row.isNew)
+    .forEach(({ epoch, answers }) =>
+      left.set(epoch, (left.get(epoch) ?? 1) + answers * baselineShare),
+    );
+  return rows.map((row) => {
+    if (!row.isNew || row.failures === 0) {
+      return row;
+    }
+    const allowed = left.get(row.epoch) ?? 0;
+    const failures = Math.min(row.failures, Math.floor(allowed));
+    left.set(row.epoch, allowed - failures);
+    return { ...row, failures };
+  });
+};
+
 /** Number of most recent epochs whose slowness is also evaluated alone, to detect a version that becomes slow late. */
 const SLOW_EPOCHS = 5;
 
@@ -302,7 +342,16 @@
   const previousAnswers = sumRows(listAnswerRows(baseline));
   if (
     isFailing(answers, previousAnswers, certainty, certainty.wholeRatio) ||
-    isRejecting(rows, certainty)
+    isExcessive(
+      rows.filter((row) => row.measure === 'rejection'),
+      certainty.excess,
+      true,
+    ) ||
+    isExcessive(
+      limitFailures(mergeRows(listAnswerRows(rows))),
+      certainty.failureExcess,
+      certainty.comparesEpochs,
+    )
   ) {
     return true;
   }
