--- a/packages/core/__tests__/canaryState.spec.ts
+++ b/packages/core/__tests__/canaryState.spec.ts
@@ -54,7 +54,7 @@
       canary = core.canaryState.countPooled(canary, nowMs);
       pooledAtMs = nowMs;
     }
-    const isNew = draw() < core.canaryState.getTrafficShare(canary, nowMs, load.isSession);
+    const isNew = draw() < core.canaryShare.getTrafficShare(canary, nowMs, load.isSession);
     const kind = KINDS[Math.floor(draw() * KINDS.length)] ?? KINDS[0];
     total += 1;
     exposed += Number(isNew);
@@ -167,7 +167,7 @@
         prand.unsafeUniformIntDistribution(0, 1_000_000, random) / 1_000_000;
       let canary = core.canaryState.makeCanary(ORDER, 'running', 0, EXPOSURE);
       for (let nowMs = 0; nowMs < ORDER.periodMs - 1_000; nowMs += 20) {
-        const isNew = draw() < core.canaryState.getTrafficShare(canary, nowMs);
+        const isNew = draw() < core.canaryShare.getTrafficShare(canary, nowMs);
         const drawNoise = (): number => Math.exp((draw() + draw() + draw() - 1.5) * 1.6);
         const factor = isNew && isSlow && draw() < 0.5 ? 8 : 1;
         const kind = 'talk|small';
@@ -217,7 +217,7 @@
         pooledAtMs = nowMs;
       }
       const fraction = prand.unsafeUniformIntDistribution(0, 1_000_000, random) / 1_000_000;
-      const isNew = fraction < core.canaryState.getTrafficShare(canary, nowMs);
+      const isNew = fraction < core.canaryShare.getTrafficShare(canary, nowMs);
       const answer = { kind: 'read|', isNew, elapsedMs: 50 };
       canary = core.canaryState.recordAnswer(canary, 'r1', answer, nowMs);
       total += 1;
@@ -237,7 +237,7 @@
   for (let nowMs = 0; nowMs < ORDER.periodMs; nowMs += stepMs) {
     const arrivals = (getRate(nowMs) * stepMs) / 1_000;
     total += arrivals;
-    exposed += arrivals * core.canaryState.getTrafficShare(canary, nowMs);
+    exposed += arrivals * core.canaryShare.getTrafficShare(canary, nowMs);
   }
   t.true(exposed <= EXPOSURE_SHARE * total + EXPOSURE_SLACK, `${exposed} of ${total}`);
 });
@@ -253,7 +253,7 @@
   for (let nowMs = 0; nowMs < order.periodMs; nowMs += stepMs) {
     const arrivals = (getRate(nowMs) * stepMs) / 1_000;
     total += arrivals;
-    exposed += arrivals * core.canaryState.getTrafficShare(canary, nowMs, true);
+    exposed += arrivals * core.canaryShare.getTrafficShare(canary, nowMs, true);
   }
   t.true(exposed <= EXPOSURE_SHARE * total + EXPOSURE_SLACK, `${exposed} of ${total}`);
 });
@@ -261,7 +261,7 @@
 test('the share of sessions is constant in the first half and does not decrease for a good version', (t) => {
   const canary = core.canaryState.makeCanary(ORDER, 'running', 0, EXPOSURE);
   const shares = Array.from({ length: 200 }, (_, index) =>
-    core.canaryState.getTrafficShare(canary, (index * ORDER.periodMs) / 200),
+    core.canaryShare.getTrafficShare(canary, (index * ORDER.periodMs) / 200),
   );
   const half = shares.slice(0, 100);
   t.is(new Set(half).size, 1);
@@ -349,5 +349,5 @@
   }
   const canary = driver.getState().routed.canaries.get('desk');
   t.is(canary?.stage, 'running');
-  t.is(canary === undefined ? null : core.canaryState.getTrafficShare(canary, 20_000), 0);
+  t.is(canary === undefined ? null : core.canaryShare.getTrafficShare(canary, 20_000), 0);
 });
--- a/packages/core/__tests__/rolloutRequests.ts
+++ b/packages/core/__tests__/rolloutRequests.ts
@@ -187,7 +187,7 @@
     for (; index < ((atMs + TICK_MS) * load.rate) / 1_000; index += 1) {
       const sentAtMs = Math.max(atMs, (index * 1_000) / load.rate);
       const { path, session } = load.makeCall(index, sentAtMs, draw);
-      const share = core.canaryState.getTrafficShare(canary, sentAtMs, session !== null);
+      const share = core.canaryShare.getTrafficShare(canary, sentAtMs, session !== null);
       const key = session ?? `r-${load.seed}-${index}`;
       const isNew = shared.hash.hashToFraction(`${order.service}|${key}`) < share;
       const request = { index, atMs: sentAtMs, version: isNew ? 'v2' : 'v1', path, session };
--- a/packages/core/__tests__/sessionVersions.spec.ts
+++ b/packages/core/__tests__/sessionVersions.spec.ts
@@ -112,11 +112,11 @@
   const report = { source: 'zone:a', rows: [], oldRunning: 0 };
   const early = core.canaryState.mergeReport(start, { ...report, pooled: few }, 18_000);
   const atMs = Array.from({ length: 200 }, (_, index) => 18_000 + index * 10).find(
-    (time) => core.canaryState.getTrafficShare(early, time, true) > 0.9,
+    (time) => core.canaryShare.getTrafficShare(early, time, true) > 0.9,
   );
   t.truthy(atMs);
   const late = core.canaryState.mergeReport(early, { ...report, pooled: many }, atMs ?? 0);
-  t.true(core.canaryState.getTrafficShare(late, atMs ?? 0, true) > 0.9);
+  t.true(core.canaryShare.getTrafficShare(late, atMs ?? 0, true) > 0.9);
 });
 
 test('counts of a report that waited do not replace those of a later one', (t) => {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -47,6 +47,7 @@
 export * as canaryEvidence from './routed/canaryEvidence.js';
 export * as versionEvidence from './routed/versionEvidence.js';
 export * as versionRoles from './routed/versionRoles.js';
+export * as canaryShare from './routed/canaryShare.js';
 export * as canaryState from './routed/canaryState.js';
 export * as versionId from './versionId.js';
 export * as upstreamState from './upstreamState.js';
--- a/packages/core/src/routed/canaryEvidence.ts
+++ b/packages/core/src/routed/canaryEvidence.ts
@@ -309,10 +309,10 @@
 };
 
 /**
- * Limits the failures of the candidate in an epoch to one more than the baseline leads to expect there: the end of one
+ * Clamps the failures of the candidate in an epoch to one more than the baseline leads to expect there: the end of one
  * upstream breaks several requests at once and says no more than one failure.
  */
-const limitFailures = (rows: readonly EvidenceRow[]): readonly EvidenceRow[] => {
+const clampFailures = (rows: readonly EvidenceRow[]): readonly EvidenceRow[] => {
   const baselineShare = estimateFailureShare(sumRows(rows.filter((row) => !row.isNew)));
   const left = new Map<number, number>();
   rows
@@ -348,7 +348,7 @@
       true,
     ) ||
     isExcessive(
-      limitFailures(mergeRows(listAnswerRows(rows))),
+      clampFailures(mergeRows(listAnswerRows(rows))),
       certainty.failureExcess,
       certainty.comparesEpochs,
     )
--- a/packages/core/src/routed/canaryHandlers.ts
+++ b/packages/core/src/routed/canaryHandlers.ts
@@ -3,6 +3,7 @@
 import type * as routerState from '../routerState.js';
 import * as transition from '../transition.js';
 import * as canaryEvidence from './canaryEvidence.js';
+import * as canaryShare from './canaryShare.js';
 import * as canaryState from './canaryState.js';
 import * as evidenceRoles from './evidenceRoles.js';
 import * as versionRoles from './versionRoles.js';
@@ -132,7 +133,7 @@
   if (canary?.stage !== 'running') {
     return transition.makeTransition(current);
   }
-  const frozen = canaryState.holdSessions(canary, nowMs);
+  const frozen = canaryShare.holdSessions(canary, nowMs);
   return transition.makeTransition(withCanary(current, frozen), {
     type: 'log',
     message: 'roll-out order removed',
--- a/packages/core/src/routed/versionRoles.ts
+++ b/packages/core/src/routed/versionRoles.ts
@@ -1,5 +1,6 @@
 import type * as immutable from 'immutable';
 import * as canaryEvidence from './canaryEvidence.js';
+import * as canaryShare from './canaryShare.js';
 import * as canaryState from './canaryState.js';
 
 /**
@@ -114,7 +115,7 @@
         rows: joinEpochs(earlier.rows),
         callers: earlier.callers,
         offset: earlier.offset,
-        sessionFloor: canaryState.getTrafficShare(earlier, canary.startedAtMs, true),
+        sessionFloor: canaryShare.getTrafficShare(earlier, canary.startedAtMs, true),
       };
 
 /** Most earlier orders of a service that are remembered; the versions of older ones are withdrawn. */
@@ -155,7 +156,7 @@
   const earlier = isCompleted
     ? []
     : [
-        ...(isOpen ? [canaryState.holdSessions(previous, next.startedAtMs)] : []),
+        ...(isOpen ? [canaryShare.holdSessions(previous, next.startedAtMs)] : []),
         ...previous.superseded,
       ].map((item) => ({ ...item, superseded: [] }));
   const { to } = next.order;
@@ -164,7 +165,7 @@
     serving,
     isReturn: serving.includes(to),
     offset: earlier.reduce(
-      (end, item) => Math.max(end, item.offset + canaryState.getWidth(item)),
+      (end, item) => Math.max(end, item.offset + canaryShare.getWidth(item)),
       0,
     ),
     withdrawn: canaryState.listWithdrawn({ ...previous, to: previous.order.to }, next.order),
@@ -219,7 +220,7 @@
     offset,
   };
   return sessionShare === null
-    ? canaryState.holdSessions(earlier, canary.startedAtMs)
+    ? canaryShare.holdSessions(earlier, canary.startedAtMs)
     : { ...earlier, sessionShare };
 };
 
--- a/packages/core/src/routed/versionShare.ts
+++ b/packages/core/src/routed/versionShare.ts
@@ -3,6 +3,7 @@
 import type * as requestState from '../requestState.js';
 import type * as routerState from '../routerState.js';
 import type * as upstreamState from '../upstreamState.js';
+import * as canaryShare from './canaryShare.js';
 import * as canaryState from './canaryState.js';
 import * as prefixCache from './prefixCache.js';
 import type * as routedState from './routedState.js';
@@ -32,7 +33,7 @@
   hasUpstream: UpstreamFinder,
 ): string | null => {
   const isWithin = (item: canaryState.Canary): boolean =>
-    isWithinShare(item, hash, canaryState.getTrafficShare(item, nowMs, isSession));
+    isWithinShare(item, hash, canaryShare.getTrafficShare(item, nowMs, isSession));
   const ordered = versionRoles.getOwner(canary, canary.order.to);
   if (isWithin(canary)) {
     return ordered;
@@ -100,7 +101,7 @@
         version: canary.order.to,
         upstream: upstream.host.id,
         elapsedMs: Math.round(nowMs - canary.startedAtMs),
-        share: canaryState.getTrafficShare(canary, nowMs, true),
+        share: canaryShare.getTrafficShare(canary, nowMs, true),
         isBad: canary.isBad,
       },
     },
--- a/packages/router/__tests__/canaryRecords.spec.ts
+++ b/packages/router/__tests__/canaryRecords.spec.ts
@@ -148,7 +148,7 @@
     t.is(
       earlier === undefined
         ? null
-        : core.canaryState.getTrafficShare(earlier, runtime.getNowMs() + 2, isSession),
+        : core.canaryShare.getTrafficShare(earlier, runtime.getNowMs() + 2, isSession),
       0,
     ),
   );
