perf(core): rejections cost nothing in a roll-out that has none

Cause: rows of callers went to all peers, and the test of failures merged all rows five times a second, also where neither version had an event. Change: rows of an epoch and kind are reported only once a rejection is known there; tests end before they sum up.

--- a/packages/core/src/routed/canaryEvidence.ts
+++ b/packages/core/src/routed/canaryEvidence.ts
@@ -285,6 +285,10 @@
   return Array.from(strata.values());
 };
 
+/** Returns whether the candidate has any of the events of the rows; most roll-outs have none. */
+const hasEvents = (rows: readonly EvidenceRow[]): boolean =>
+  rows.some((row) => row.isNew && row.failures > 0);
+
 /** Returns whether more requests of the candidate have the events of the rows, overall or of one kind. */
 const isExcessive = (
   rows: readonly EvidenceRow[],
@@ -292,18 +296,16 @@
   hasEpochs: boolean,
 ): boolean => {
   const kinds = new Set(rows.filter((row) => row.isNew && row.failures > 0).map((row) => row.kind));
+  const isBeyond = (tested: readonly EvidenceRow[], minimum: number): boolean =>
+    excessTest.computeExcess(listStrata(tested, hasEpochs)) >= minimum;
   return (
     kinds.size > 0 &&
-    (excessTest.computeExcess(listStrata(rows, hasEpochs)) >= threshold ||
-      Array.from(kinds).some(
-        (kind) =>
-          excessTest.computeExcess(
-            listStrata(
-              rows.filter((row) => row.kind === kind),
-              hasEpochs,
-            ),
-          ) >=
+    (isBeyond(rows, threshold) ||
+      Array.from(kinds).some((kind) =>
+        isBeyond(
+          rows.filter((row) => row.kind === kind),
           threshold + Math.log(kinds.size),
+        ),
       ))
   );
 };
@@ -336,22 +338,18 @@
 
 /** Tests whether the canary's version fails or rejects too often or is slow, overall or for one kind of request. */
 const evaluateVersion = (rows: readonly EvidenceRow[], certainty: Certainty): boolean => {
-  const candidate = rows.filter((row) => row.isNew);
-  const baseline = rows.filter((row) => !row.isNew);
+  const timed = rows.filter((row) => row.measure !== 'rejection');
+  const candidate = timed.filter((row) => row.isNew);
+  const baseline = timed.filter((row) => !row.isNew);
   const answers = listAnswerRows(candidate);
   const previousAnswers = sumRows(listAnswerRows(baseline));
+  const rejections = rows.filter((row) => row.measure === 'rejection');
+  const { excess, failureExcess, comparesEpochs } = certainty;
   if (
     isFailing(answers, previousAnswers, certainty, certainty.wholeRatio) ||
-    isExcessive(
-      rows.filter((row) => row.measure === 'rejection'),
-      certainty.excess,
-      true,
-    ) ||
-    isExcessive(
-      clampFailures(mergeRows(listAnswerRows(rows))),
-      certainty.failureExcess,
-      certainty.comparesEpochs,
-    )
+    (hasEvents(rejections) && isExcessive(rejections, excess, true)) ||
+    (hasEvents(answers) &&
+      isExcessive(clampFailures(mergeRows(listAnswerRows(timed))), failureExcess, comparesEpochs))
   ) {
     return true;
   }
--- a/packages/core/src/routed/canaryState.ts
+++ b/packages/core/src/routed/canaryState.ts
@@ -67,6 +67,8 @@
   readonly sessionFloor: number;
   /** Evidence by source, epoch, kind and version. */
   readonly rows: immutable.Map<string, SourcedRow>;
+  /** Epochs and kinds in which a rejection is known; the rows of the others say nothing to peers. */
+  readonly rejecting: immutable.Set<string>;
   /** Callers of this router that were counted, by version and kind, with the epoch, or Infinity once one was rejected. */
   readonly callers: immutable.Map<string, number>;
   /** Answers of all routers, or null while this router does not know them. */
@@ -169,6 +171,7 @@
   offset: 0,
   sessionFloor: 0,
   rows: immutable.Map(),
+  rejecting: immutable.Set(),
   callers: immutable.Map(),
   pooled: null,
   previousInFlight: immutable.Map(),
@@ -238,6 +241,9 @@
 export const makeRowKey = (source: string, row: canaryEvidence.EvidenceRow): string =>
   `${source}|${row.epoch}|${row.kind}|${row.measure}|${row.isNew}`;
 
+/** Names the epoch and kind of a row. */
+const makeStratumKey = ({ epoch, kind }: canaryEvidence.EvidenceRow): string => `${epoch}|${kind}`;
+
 const computeEpoch = (canary: Canary, nowMs: number): number =>
   Math.max(0, Math.floor((nowMs - canary.startedAtMs) / canaryEvidence.EPOCH_MS));
 
@@ -311,9 +317,12 @@
       failures: row.failures + Number(isRejected),
     }),
   );
+  const told = isRejected
+    ? { ...updated, rejecting: updated.rejecting.add(`${epoch}|${kind}`) }
+    : updated;
   return caller === null
-    ? updated
-    : { ...updated, callers: updated.callers.set(key, isRejected ? Infinity : epoch) };
+    ? told
+    : { ...told, callers: told.callers.set(key, isRejected ? Infinity : epoch) };
 };
 
 /**
@@ -349,6 +358,11 @@
         ? merged
         : merged.set(key, { source, row });
     }, canary.rows),
+    rejecting: canary.rejecting.union(
+      rows
+        .filter((row) => row.measure === 'rejection' && row.failures > 0)
+        .map((row) => makeStratumKey(row)),
+    ),
     previousInFlight:
       (canary.previousInFlight.get(source)?.atMs ?? -Infinity) > atMs
         ? canary.previousInFlight
@@ -386,7 +400,12 @@
   const first = Math.floor((nowMs - canary.startedAtMs) / canaryEvidence.EPOCH_MS) - epochs;
   return canary.rows
     .valueSeq()
-    .filter((sourced) => sourced.row.epoch >= first && sources.has(sourced.source))
+    .filter(
+      ({ source, row }) =>
+        row.epoch >= first &&
+        sources.has(source) &&
+        (row.measure !== 'rejection' || canary.rejecting.has(makeStratumKey(row))),
+    )
     .map((sourced) => sourced.row)
     .toArray();
 };
