--- a/packages/core/__tests__/routedFixtures.ts
+++ b/packages/core/__tests__/routedFixtures.ts
@@ -80,7 +80,6 @@
   lastEventId: null,
   session: null,
   fingerprint: 'f',
-  callerFingerprint: null,
   formerFingerprint: null,
   ...change,
 });
--- a/packages/core/src/routed/routedState.ts
+++ b/packages/core/src/routed/routedState.ts
@@ -26,10 +26,8 @@
   readonly lastEventId: number | null;
   /** Name of the caller's session, or null. */
   readonly session: string | null;
-  /** Hash of method, host, path, key and body; equal for repetitions of a request with the same key. */
+  /** Hash of method, host, path, caller and body; equal for repetitions of a request. */
   readonly fingerprint: string;
-  /** The same with the organisation in place of its key, equal for all its keys; null if the key has none. */
-  readonly callerFingerprint: string | null;
   /** Hash by which routers of the former build know the request, or null if other requests have it too. */
   readonly formerFingerprint: string | null;
 }
--- a/packages/router/src/routed/guardRecords.ts
+++ b/packages/router/src/routed/guardRecords.ts
@@ -29,7 +29,6 @@
         zod.object({
           id: zod.string(),
           exactId: zod.string().exactOptional(),
-          callerId: zod.string().exactOptional(),
           parts: zod.array(zod.string()),
           hasBegun: zod.boolean(),
         }),
