perf(core): the test of a slightly worse version runs once, at the end of a roll-out

The test merged all rows five times a second at the routers that have the evidence of all. Change: it is the dearest test and needs more failures than the tests beside it while the roll-out runs, so it is left to the end, where its level decides.

--- a/packages/core/src/routed/canaryEvidence.ts
+++ b/packages/core/src/routed/canaryEvidence.ts
@@ -50,10 +50,8 @@
   readonly minFailures: number;
   /** Log of the evidence, from 0, from which a version counts as rejecting more than its predecessors. */
   readonly excess: number;
-  /** The same for a version that fails more, by however little. */
+  /** The same for a version that fails more, by however little; Infinity leaves that test out, which is the dearest. */
   readonly failureExcess: number;
-  /** True if failures are compared within an epoch, as after a change of load; the last epochs have no baseline. */
-  readonly comparesEpochs: boolean;
   /** Ratio of the mean times of a kind above which a version counts as slow. */
   readonly kindRatio: number;
   /** Standard errors by which the means of the log times of a kind must also differ. */
@@ -72,8 +70,7 @@
   wholeKindRatio: Math.log(100_000),
   minFailures: 3,
   excess: Math.log(1_000),
-  failureExcess: Math.log(10_000),
-  comparesEpochs: true,
+  failureExcess: Infinity,
   kindRatio: 3,
   kindErrors: 5,
   pooledErrors: 4.5,
@@ -86,7 +83,6 @@
   minFailures: 3,
   excess: Math.log(50),
   failureExcess: Math.log(20),
-  comparesEpochs: false,
   kindRatio: 1.8,
   kindErrors: 3.5,
   pooledErrors: 3,
@@ -344,12 +340,13 @@
   const answers = listAnswerRows(candidate);
   const previousAnswers = sumRows(listAnswerRows(baseline));
   const rejections = rows.filter((row) => row.measure === 'rejection');
-  const { excess, failureExcess, comparesEpochs } = certainty;
+  const { excess, failureExcess } = certainty;
   if (
     isFailing(answers, previousAnswers, certainty, certainty.wholeRatio) ||
     (hasEvents(rejections) && isExcessive(rejections, excess, true)) ||
-    (hasEvents(answers) &&
-      isExcessive(clampFailures(mergeRows(listAnswerRows(timed))), failureExcess, comparesEpochs))
+    (Number.isFinite(failureExcess) &&
+      hasEvents(answers) &&
+      isExcessive(clampFailures(mergeRows(listAnswerRows(timed))), failureExcess, false))
   ) {
     return true;
   }
