--- a/packages/core/__tests__/rolloutEvidence.spec.ts
+++ b/packages/core/__tests__/rolloutEvidence.spec.ts
@@ -120,8 +120,11 @@
   const canary = router?.getState().routed.canaries.get(rolloutFleet.ORDER.service);
   const rows = Array.from(canary?.rows.values() ?? []).map(({ row }) => row);
   const toEpoch = (atMs: number): number => atMs / core.canaryEvidence.EPOCH_MS;
+  // Rows of callers are sent only for epochs and kinds with a rejection.
   return core.canaryEvidence.sumRows(
-    rows.filter(({ epoch }) => epoch >= toEpoch(STOPPED_AT_MS) && epoch < toEpoch(RETURNED_AT_MS)),
+    core.canaryEvidence
+      .listAnswerRows(rows)
+      .filter(({ epoch }) => epoch >= toEpoch(STOPPED_AT_MS) && epoch < toEpoch(RETURNED_AT_MS)),
   ).answers;
 };
 
