--- a/packages-private/measure/src/policy/routedCalls.ts
+++ b/packages-private/measure/src/policy/routedCalls.ts
@@ -61,6 +61,7 @@
   lastEventId: null,
   session: null,
   fingerprint: shape.fingerprint,
+  callerFingerprint: null,
   formerFingerprint: null,
 });
 
--- a/packages/core/__tests__/formerFingerprint.spec.ts
+++ b/packages/core/__tests__/formerFingerprint.spec.ts
@@ -91,3 +91,38 @@
     ),
   );
 });
+
+// The former build takes the key of a request for its caller.
+test('crashes that the former build reports count for a request whose organisation is known', (t) => {
+  [
+    { id: 'exact', parts: [], hasBegun: true },
+    { id: 'former', exactId: 'exact', parts: [], hasBegun: true },
+  ].forEach((reported) => {
+    const state = mergeInto(recordCrashes(reported));
+    const change = reported.exactId === undefined ? withoutBody : withBody;
+    t.true(isHeldBack(state, { ...change, callerFingerprint: 'by organisation' }));
+  });
+});
+
+test('a request whose organisation is known is reported under the hashes that the former build knows', (t) => {
+  const call = routedFixtures.makeCall({ ...withBody, callerFingerprint: 'by organisation' });
+  const { callerId, ...known } = guardState.makeAccused(call, true);
+  t.is(callerId, 'by organisation');
+  t.deepEqual(known, guardState.makeAccused(routedFixtures.makeCall(withBody), true));
+});
+
+test('crashes of one request with several keys of its caller add up', (t) => {
+  const makeKeyed = (key: string): Partial<core.routedState.RoutedCall> => ({
+    fingerprint: key,
+    callerFingerprint: 'by organisation',
+  });
+  const news = ['a', 'b', 'c', 'd'].map((key, index) => ({
+    ...guardNews.NO_NEWS,
+    crashes: recordCrashes(
+      guardState.makeAccused(routedFixtures.makeCall(makeKeyed(key)), true),
+    ).crashes.slice(index, index + 1),
+  }));
+  const state = mergeInto(...news);
+  t.true(isHeldBack(state, makeKeyed('e')));
+  t.false(isHeldBack(state, { ...makeKeyed('a'), callerFingerprint: 'another request' }));
+});
--- a/packages/core/__tests__/routedFixtures.ts
+++ b/packages/core/__tests__/routedFixtures.ts
@@ -80,6 +80,7 @@
   lastEventId: null,
   session: null,
   fingerprint: 'f',
+  callerFingerprint: null,
   formerFingerprint: null,
   ...change,
 });
--- a/packages/core/src/routed/guardState.ts
+++ b/packages/core/src/routed/guardState.ts
@@ -7,6 +7,8 @@
   readonly id: string;
   /** Exact hash of the request; routers of the former build send none. */
   readonly exactId?: string;
+  /** Hash of the request that all keys of its caller share; routers of the former build send none. */
+  readonly callerId?: string;
   /** Ids of the prompt parts that other requests may share. */
   readonly parts: readonly string[];
   /** True if the upstream had just begun the answer, false if it may not have begun it. */
@@ -103,6 +105,9 @@
 export const makeAccused = (call: routedState.RoutedCall, hasBegun: boolean): AccusedRequest => ({
   id: (call.formerFingerprint ?? call.fingerprint).slice(0, ID_LENGTH),
   ...(call.formerFingerprint === null ? {} : { exactId: call.fingerprint.slice(0, ID_LENGTH) }),
+  ...(call.callerFingerprint === null
+    ? {}
+    : { callerId: call.callerFingerprint.slice(0, ID_LENGTH) }),
   parts: Array.from(new Set(call.parts.slice(0, -1).map((part) => part.id))).slice(0, MAX_PARTS),
   hasBegun,
 });
@@ -111,6 +116,7 @@
 export const listKeys = (request: AccusedRequest): readonly string[] => [
   makeRequestKey(request.id),
   ...(request.exactId === undefined ? [] : [makeRequestKey(request.exactId)]),
+  ...(request.callerId === undefined ? [] : [makeRequestKey(request.callerId)]),
   ...request.parts.map(makePartKey),
 ];
 
--- a/packages/core/src/routed/routedState.ts
+++ b/packages/core/src/routed/routedState.ts
@@ -26,8 +26,10 @@
   readonly lastEventId: number | null;
   /** Name of the caller's session, or null. */
   readonly session: string | null;
-  /** Hash of method, host, path, caller and body; equal for repetitions of a request. */
+  /** Hash of method, host, path, key and body; equal for repetitions of a request with the same key. */
   readonly fingerprint: string;
+  /** The same with the organisation in place of its key, or no key if it has none; null without a key. */
+  readonly callerFingerprint: string | null;
   /** Hash by which routers of the former build know the request, or null if other requests have it too. */
   readonly formerFingerprint: string | null;
 }
--- a/packages/router/__tests__/heldConfirmations.spec.ts
+++ b/packages/router/__tests__/heldConfirmations.spec.ts
@@ -67,6 +67,7 @@
         headers: {},
         body: Buffer.alloc(0),
         fingerprint: 'f',
+        callerFingerprint: null,
         formerFingerprint: null,
         response: new http.ServerResponse(new http.IncomingMessage(new net.Socket())),
         arrivedAtMs: 0,
--- a/packages/router/__tests__/routedAttempt.spec.ts
+++ b/packages/router/__tests__/routedAttempt.spec.ts
@@ -88,6 +88,7 @@
   headers: {},
   body: Buffer.alloc(0),
   fingerprint: 'f',
+  callerFingerprint: null,
   formerFingerprint: null,
   response: new http.ServerResponse(new http.IncomingMessage(new net.Socket())),
   arrivedAtMs: 0,
--- a/packages/router/src/routed/guardRecords.ts
+++ b/packages/router/src/routed/guardRecords.ts
@@ -29,6 +29,7 @@
         zod.object({
           id: zod.string(),
           exactId: zod.string().exactOptional(),
+          callerId: zod.string().exactOptional(),
           parts: zod.array(zod.string()),
           hasBegun: zod.boolean(),
         }),
--- a/packages/router/src/routed/pendingRoutedRequest.ts
+++ b/packages/router/src/routed/pendingRoutedRequest.ts
@@ -34,8 +34,10 @@
   readonly rawHeaders: readonly string[];
   readonly headers: platform.callHeaders.ParsedHeaders;
   readonly body: Buffer;
-  /** Hash of method, host, path, caller and body. */
+  /** Hash of method, host, path, key and body. */
   readonly fingerprint: string;
+  /** The same with the organisation in place of its key, or no key if it has none; null without a key. */
+  readonly callerFingerprint: string | null;
   /** Hash by which routers of the former build know the request, or null if other requests have it too. */
   readonly formerFingerprint: string | null;
   readonly response: http.ServerResponse;
--- a/packages/router/src/routed/routedServer.ts
+++ b/packages/router/src/routed/routedServer.ts
@@ -98,14 +98,33 @@
   lastRefusal.writeLastRefusal(request, response, status, headers, body);
 };
 
-/** Hashes what makes a request the same one: method, host, path with its query, key and body. */
+/** Hashes what makes a request the same one: method, host, path with its query, caller and body. */
 const hashRequest = (
   { method = 'GET', headers }: http.IncomingMessage,
   url: string,
-  key: string | null,
+  caller: readonly (string | null)[],
   body: Buffer,
 ): string =>
-  shared.hash.hashFields([method, String(headers.host ?? '').toLowerCase(), url, key], body);
+  shared.hash.hashFields([method, String(headers.host ?? '').toLowerCase(), url, ...caller], body);
+
+/**
+ * Hashes a request by the organisation of its key, which may send it again with another one. A key that belongs to none
+ * counts as no key: on a public route any may be sent along. Null for a request without a key.
+ */
+const hashByOrganisation = (
+  { runtime }: RoutedServerContext,
+  request: http.IncomingMessage,
+  url: string,
+  key: string | null,
+  body: Buffer,
+): string | null => {
+  if (key === null) {
+    return null;
+  }
+  const holder = runtime.getState().routed.routeIndex?.holdersByKey.get(key);
+  const caller = holder === undefined ? [null] : ['organisation', holder.organisation];
+  return hashRequest(request, url, caller, body);
+};
 
 /**
  * Hashes a request as routers of the former build do, which leave out host and path. Without a body, the hash stands for
@@ -143,6 +162,7 @@
       lastEventId: call.lastEventId,
       session: call.session,
       fingerprint: pending.fingerprint,
+      callerFingerprint: pending.callerFingerprint,
       formerFingerprint: pending.formerFingerprint,
     },
     tableAgeMs: context.clock.getAgeMs(),
@@ -189,7 +209,8 @@
     rawHeaders: request.rawHeaders,
     headers: request.headers,
     body,
-    fingerprint: hashRequest(request, url, call.key, body),
+    fingerprint: hashRequest(request, url, [call.key], body),
+    callerFingerprint: hashByOrganisation(context, request, url, call.key, body),
     formerFingerprint: hashAsFormerBuild(request, call.key, body),
     response,
     arrivedAtMs,
